--- /dev/null
+++ b/fescue/router.h
@@ -0,0 +1,76 @@
+/*
+ * Router: which host gets a call.
+ *
+ * Hosts of the own failure domain come first while they have room; among the
+ * candidates two random ones are compared by load and latency. Outcomes of
+ * own calls eject a failing host for a while, but never more than half of a
+ * service's hosts. A host seen for the first time starts slowly. The module
+ * owns no socket and reads no clock.
+ */
+#ifndef FESCUE_ROUTER_H
+#define FESCUE_ROUTER_H
+
+#include "fescue/snapshot.h"
+
+enum router_policy {
+	ROUTER_TWO_CHOICES, /* the policy described above */
+	ROUTER_RANDOM,	    /* any host; the baseline for measurements */
+};
+
+struct router_settings {
+	enum router_policy policy;
+	uint32_t slow_start_ms;
+	uint32_t load_half_life_ms; /* ageing of reported load */
+	uint32_t failures_to_eject; /* consecutive */
+	uint32_t ejection_ms;	    /* doubled each time in a row */
+	uint32_t ejection_max_ms;
+};
+
+extern const struct router_settings router_defaults;
+
+/* How a call sent to a host ended, as evidence on that host. */
+enum router_result {
+	ROUTER_ANSWERED,
+	ROUTER_REFUSED,	 /* healthy but full or leaving */
+	ROUTER_FAILED,	 /* no connection, crash or timeout */
+	ROUTER_CANCELED, /* says nothing on the host */
+};
+
+struct router_load {
+	uint32_t in_use;
+	uint32_t queued;
+	uint32_t slots;
+};
+
+struct router;
+
+struct router *router_create(const struct router_settings *settings,
+			     uint32_t seed);
+void router_destroy(struct router *router);
+
+/*
+ * Choose a host of the service that is not among excluded. Returns 0 and
+ * stores its address key, or FESCUE_ENOTFOUND when none is left.
+ */
+int router_choose(struct router *router, const struct snapshot *snapshot,
+		  struct service_handle service, const char *own_domain,
+		  const uint64_t *excluded, size_t excluded_count,
+		  uint64_t now_ms, uint64_t *host);
+
+/* A call was sent to the host. Pair with router_finished(). */
+void router_started(struct router *router, uint64_t host, uint64_t now_ms);
+
+/* load may be NULL when the answer carried none. */
+void router_finished(struct router *router, uint64_t host,
+		     enum router_result result, uint64_t latency_us,
+		     const struct router_load *load, uint64_t now_ms);
+
+/* Calls sent to the host that have not ended. */
+uint32_t router_outstanding(const struct router *router, uint64_t host);
+int router_is_ejected(const struct router *router, uint64_t host,
+		      uint64_t now_ms);
+
+/* Drop what is known of hosts unused for idle_ms; in-flight ones stay. */
+void router_expire(struct router *router, uint64_t now_ms, uint64_t idle_ms);
+
+#endif
--- /dev/null
+++ b/fescue/rules.h
@@ -0,0 +1,97 @@
+/*
+ * The operators' rules file: parsing and checking.
+ *
+ * One rule a line, closed by a comment that names who asked for it:
+ *
+ *   service NAME [deadline=MS] [queue=N] [reserve=PERCENT]  # who
+ *   route METHOD HOST/PREFIX SERVICE [class=urgent|background]
+ *         [idempotent=yes|no] [deadline=MS] [retries=N]      # who
+ *
+ * METHOD and HOST may be "*". Parsing is total: any input yields either a
+ * rule set or a list of diagnostics, never both.
+ */
+#ifndef FESCUE_RULES_H
+#define FESCUE_RULES_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define RULES_MAX_BYTES 998000
+#define RULES_MAX_LINE_BYTES 1024
+#define RULES_MAX_DIAGNOSTICS 100
+#define RULES_NAME_MAX_BYTES 63
+#define RULES_DEADLINE_MAX_MS 600000
+#define RULES_DEADLINE_DEFAULT_MS 2000
+#define RULES_QUEUE_MAX 10000
+#define RULES_QUEUE_DEFAULT 32
+#define RULES_RESERVE_DEFAULT_PERCENT 30
+#define RULES_RETRIES_MAX 5
+#define RULES_RETRIES_DEFAULT 1
+
+enum call_class { CALL_CLASS_URGENT, CALL_CLASS_BACKGROUND, CALL_CLASS_COUNT };
+
+/* What the file promises for the calls of one route. */
+struct contract {
+	enum call_class call_class;
+	int idempotent;
+	uint32_t deadline_ms;
+	uint32_t retries; /* further attempts after the first */
+};
+
+/* Limits every backend server of a service applies. */
+struct service_rule {
+	char name[RULES_NAME_MAX_BYTES + 1];
+	uint32_t queue; /* calls that may wait for a slot, per class */
+	uint32_t reserve_percent; /* slots kept free of background calls */
+	uint32_t deadline_ms;
+	uint32_t line;
+};
+
+struct route_rule {
+	char *method; /* "*" matches any */
+	char *host;   /* "*" matches any */
+	char *prefix; /* starts with '/' */
+	char service[RULES_NAME_MAX_BYTES + 1];
+	struct contract contract;
+	uint32_t line;
+	uint32_t service_column;
+	int has_deadline;
+};
+
+/* One bad line: where, what was found, and the remedy. */
+struct diagnostic {
+	uint32_t line;	 /* 1-based; 0 for the file as a whole */
+	uint32_t column; /* 1-based, in bytes */
+	char what[192];
+	char remedy[192];
+};
+
+struct rules;
+
+/*
+ * Parse size bytes of text. On success stores a new rule set in *out, owned
+ * by the caller, and returns 0. Otherwise returns FESCUE_EINVAL or
+ * FESCUE_ETOOBIG, sets *out to NULL and fills up to max diagnostics, their
+ * number in *count. diagnostics may be NULL when max is 0.
+ */
+int rules_parse(const char *text, size_t size, struct rules **out,
+		struct diagnostic *diagnostics, size_t max, size_t *count);
+
+/* Free a rule set; NULL is allowed. */
+void rules_destroy(struct rules *rules);
+
+size_t rules_service_count(const struct rules *rules);
+const struct service_rule *rules_service(const struct rules *rules, size_t i);
+size_t rules_route_count(const struct rules *rules);
+
+/* Routes are ordered: the first match of a call is the most specific. */
+const struct route_rule *rules_route(const struct rules *rules, size_t i);
+
+/* Does the route rule accept this call? Strings need not end in NUL. */
+int route_rule_matches(const struct route_rule *rule, const char *method,
+		       size_t method_len, const char *host, size_t host_len,
+		       const char *path, size_t path_len);
+
+const char *call_class_name(enum call_class call_class);
+
+#endif
--- /dev/null
+++ b/programs/fescuectl.c
@@ -0,0 +1,115 @@
+/*
+ * fescuectl: the operators' command line.
+ */
+#include "ctl.h"
+#include "fescue/error.h"
+#include "fescue/rules.h"
+#include "program.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char summary[] =
+	"Commands:\n"
+	"  check FILE       check a rules file\n"
+	"  apply FILE       check it and make it the configuration\n"
+	"  edit FILE        change lines: --add, --remove, --replace\n"
+	"  diff FILE        compare the stored configuration with a file\n"
+	"  show             print the stored configuration\n"
+	"  status           versions in force, by failure domain\n"
+	"  explain PATH     where a call goes, and which line says so\n"
+	"Exit codes: 0 good, 1 refused, 2 usage.";
+
+static struct ctl ctl = {.base = -1};
+static char *store_text, *node_text, *settings_path;
+
+struct command {
+	const char *name;
+	int arguments;
+	int (*run)(struct ctl *ctl, const char *argument);
+	int needs_store;
+	int needs_node;
+};
+
+static const struct command commands[] = {
+	{"check", 1, ctl_check, 0, 0},	   {"apply", 1, ctl_apply, 1, 0},
+	{"edit", 1, ctl_edit, 0, 0},	   {"diff", 1, ctl_diff, 1, 0},
+	{"show", 0, ctl_show, 1, 0},	   {"status", 0, ctl_status, 0, 1},
+	{"explain", 1, ctl_explain, 0, 1},
+};
+
+static const struct command *find_command(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(commands[i].name, name))
+			return &commands[i];
+	return NULL;
+}
+
+static void read_addresses(const struct command *command)
+{
+	char message[SETTINGS_ERROR_BYTES];
+
+	if (settings_path && ctl_read_settings(&ctl, settings_path, message)) {
+		fprintf(stderr, "%s\n", message);
+		exit(EXIT_REFUSED);
+	}
+	if (store_text && address_parse(store_text, &ctl.store))
+		program_usage_error("fescuectl", "--store is IP:PORT");
+	if (node_text && address_parse(node_text, &ctl.node))
+		program_usage_error("fescuectl", "--node is IP:PORT");
+	if (command->needs_store && !ctl.store.port)
+		program_usage_error("fescuectl",
+				    "name the store with --store or "
+				    "--settings");
+	if (command->needs_node && !ctl.node.port)
+		program_usage_error("fescuectl",
+				    "name a node's operator port with --node "
+				    "or --settings");
+}
+
+int main(int argc, char **argv)
+{
+	const GOptionEntry entries[] = {
+		{"store", 0, 0, G_OPTION_ARG_STRING, &store_text,
+		 "The key-value service", "IP:PORT"},
+		{"node", 0, 0, G_OPTION_ARG_STRING, &node_text,
+		 "Operator port of any node", "IP:PORT"},
+		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &settings_path,
+		 "JSON file with \"store\" and \"node\"", "FILE"},
+		{"base", 0, 0, G_OPTION_ARG_INT64, &ctl.base,
+		 "apply: version the file was made from", "VERSION"},
+		{"events", 0, 0, G_OPTION_ARG_FILENAME, &ctl.events_path,
+		 "apply: append the accepted version for fescue-check", "FILE"},
+		{"method", 0, 0, G_OPTION_ARG_STRING, &ctl.method,
+		 "explain: method of the call", "METHOD"},
+		{"host", 0, 0, G_OPTION_ARG_STRING, &ctl.host,
+		 "explain: host of the call", "HOST"},
+		{"add", 0, 0, G_OPTION_ARG_STRING, &ctl.add,
+		 "edit: append a line", "LINE"},
+		{"remove", 0, 0, G_OPTION_ARG_INT, &ctl.remove,
+		 "edit: remove the line", "NUMBER"},
+		{"replace", 0, 0, G_OPTION_ARG_INT, &ctl.replace,
+		 "edit: replace the line by --with", "NUMBER"},
+		{"with", 0, 0, G_OPTION_ARG_STRING, &ctl.with,
+		 "edit: the new line", "LINE"},
+		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	};
+	const struct command *command;
+
+	program_parse(&argc, &argv, entries, "COMMAND [ARGUMENT]", summary);
+	command = argc > 1 ? find_command(argv[1]) : NULL;
+	if (!command)
+		program_usage_error("fescuectl", "name a command");
+	if (argc != 2 + command->arguments)
+		program_usage_error("fescuectl",
+				    command->arguments ?
+					    "the command needs one argument" :
+					    "the command takes no argument");
+	read_addresses(command);
+	signal(SIGPIPE, SIG_IGN);
+	ctl.loop = uv_default_loop();
+	return command->run(&ctl, command->arguments ? argv[2] : NULL);
+}
--- /dev/null
+++ b/script/fleet.sh
@@ -0,0 +1,179 @@
+# Functions that start and stop a deployment's processes on loopback.
+# Source this file; every process started is stopped by its pid on exit.
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+bin=${FESCUE_BIN:-$root/build}
+declare -A fleet_pids
+
+fleet_clean() {
+	local name
+	for name in "${!fleet_pids[@]}"
+	do
+		kill -KILL "${fleet_pids[$name]}" 2>/dev/null || true
+	done
+	wait 2>/dev/null || true
+}
+trap fleet_clean EXIT
+
+# fleet_init DIR: empty the folder for logs and records.
+fleet_init() {
+	out=$1
+	rm -rf "$out"
+	mkdir -p "$out"
+}
+
+# fleet_run NAME COMMAND...: start a process under a name.
+fleet_run() {
+	local name=$1
+	shift
+	"$@" >>"$out/$name.log" 2>&1 &
+	fleet_pids[$name]=$!
+}
+
+# fleet_signal NAME SIGNAL
+fleet_signal() {
+	kill -"$2" "${fleet_pids[$1]}" 2>/dev/null || true
+}
+
+# fleet_kill NAME: kill a process as a crash would.
+fleet_kill() {
+	local pid=${fleet_pids[$1]:-}
+	test -n "$pid" || return 0
+	kill -KILL "$pid" 2>/dev/null || true
+	wait "$pid" 2>/dev/null || true
+	unset "fleet_pids[$1]"
+}
+
+# fleet_stop NAME: ask a process to stop and wait for it.
+fleet_stop() {
+	local pid=${fleet_pids[$1]:-}
+	test -n "$pid" || return 0
+	kill -TERM "$pid" 2>/dev/null || true
+	wait "$pid" 2>/dev/null || true
+	unset "fleet_pids[$1]"
+}
+
+setting() {
+	jq -r ".$2" "$1"
+}
+
+# start_store DEPLOYMENT: the store stand-in at the address in its settings.
+start_store() {
+	store=$(setting "$root/example/$1/host-1.json" store)
+	fleet_run "$1-store" "$bin/fescue-store-standin" "$store"
+	wait_http "$store/control/counters"
+}
+
+# start_node DEPLOYMENT NUMBER
+start_node() {
+	local settings=${settings_dir:-$root/example/$1}/host-$2.json
+	fleet_run "$1-node-$2" "$bin/fescue-node" \
+		--events "$out/$1-node-$2.events" "$settings"
+}
+
+# start_backend DEPLOYMENT NUMBER SERVICE [OPTION...]
+start_backend() {
+	local deployment=$1 number=$2 service=$3 settings ip
+	shift 3
+	settings=${settings_dir:-$root/example/$deployment}/host-$number.json
+	ip=$(setting "$settings" address)
+	fleet_run "$deployment-backend-$number" "$bin/fescue-backend-standin" \
+		--listen "$ip:8100" --node "$ip:9000" --callers "$ip:8000" \
+		--service "$service" --seed "$number" \
+		--events "$out/$deployment-backend-$number.events" "$@"
+}
+
+# hosts_of DEPLOYMENT: lines of "number service".
+hosts_of() {
+	grep -v '^#' "${settings_dir:-$root/example/$1}/hosts"
+}
+
+# start_fleet DEPLOYMENT [BACKEND OPTION...]
+start_fleet() {
+	local deployment=$1 number service
+	shift
+	start_store "$deployment"
+	while read -r number service
+	do
+		start_node "$deployment" "$number"
+		start_backend "$deployment" "$number" "$service" "$@"
+	done < <(hosts_of "$deployment")
+}
+
+# wait_http URL: until something answers there, 10 s at most.
+wait_http() {
+	local i
+	for i in $(seq 100)
+	do
+		curl -s -o /dev/null -m 1 "http://$1" && return 0
+		sleep 0.1
+	done
+	echo "no answer from $1" >&2
+	return 1
+}
+
+node_ip() {
+	setting "${settings_dir:-$root/example/$1}/host-$2.json" address
+}
+
+# caller_ports DEPLOYMENT: a comma-separated list.
+caller_ports() {
+	local number service list=""
+	while read -r number service
+	do
+		list="$list,$(node_ip "$1" "$number"):8000"
+	done < <(hosts_of "$1")
+	echo "${list#,}"
+}
+
+# status_of DEPLOYMENT NUMBER JQ-EXPRESSION
+status_of() {
+	curl -s -m 2 "http://$(node_ip "$1" "$2"):9000/status" | jq -r "$3"
+}
+
+# counter_of DEPLOYMENT NUMBER NAME
+counter_of() {
+	curl -s -m 2 "http://$(node_ip "$1" "$2"):9000/counters" |
+	awk -v name="$3" '$1 == name { print $2 }'
+}
+
+# store_counter DEPLOYMENT NAME
+store_counter() {
+	curl -s -m 2 \
+	"http://$(setting "$root/example/$1/host-1.json" store)/control/counters" |
+	awk -v name="$2" '$1 == name { print $2 }'
+}
+
+# store_faults DEPLOYMENT JSON
+store_faults() {
+	curl -s -m 2 -o /dev/null -X POST -d "$2" \
+	"http://$(setting "$root/example/$1/host-1.json" store)/control/faults"
+}
+
+# wait_ready DEPLOYMENT ROUTES: until every node serves that many routes.
+wait_ready() {
+	local deployment=$1 routes=$2 number service i good
+	for i in $(seq 150)
+	do
+		good=1
+		while read -r number service
+		do
+			test "$(status_of "$deployment" "$number" \
+				'"\(.ready) \(.routes)"')" = "true $routes" ||
+			{ good=0; break; }
+		done < <(hosts_of "$deployment")
+		test $good = 1 && return 0
+		sleep 0.1
+	done
+	echo "$deployment: node $number is not ready" >&2
+	return 1
+}
+
+# apply DEPLOYMENT FILE [OPTION...]
+apply() {
+	local deployment=$1 file=$2
+	shift 2
+	"$bin/fescuectl" --store \
+		"$(setting "$root/example/$deployment/host-1.json" store)" \
+		--events "$out/$deployment-accepted.events" "$@" apply "$file"
+}
--- /dev/null
+++ b/src/bootstrap.c
@@ -0,0 +1,352 @@
+#include "bootstrap.h"
+
+#include "fescue/envelope.h"
+#include "fescue/error.h"
+#include "log.h"
+
+#include <string.h>
+
+#define RENDEZVOUS_PREFIX "fescue/rendezvous/"
+#define RENDEZVOUS_TTL_MS 10000
+#define RENDEZVOUS_RENEW_MS 3000
+#define RETRY_MIN_MS 250
+#define RETRY_MAX_MS 5000
+#define ROLE_DELAY_MS 1000
+#define SETTLE_MS 3000 /* time in which gossip brings the newest version */
+
+enum boot_phase {
+	BOOT_WAIT,     /* for the next attempt's time */
+	BOOT_LIST,     /* reading the rendezvous records */
+	BOOT_REVISION, /* reading the configuration's revision */
+	BOOT_DONE,
+};
+
+struct bootstrap {
+	struct node *node;
+	GRand *random;
+	enum boot_phase phase;
+	uint64_t attempt_at_ms;
+	uint32_t retry_ms;
+	int confirmed;
+	uint64_t role_at_ms;	  /* no relay role before peers could answer */
+	uint64_t synced_since_ms; /* 0: no table from a peer yet */
+	int store_up;
+	struct store_call *boot_call;
+	int watching;
+	struct store_call *watch_call;
+	uint64_t watch_after;
+	uint64_t watch_at_ms;
+	uint32_t watch_retry_ms;
+	uint64_t lease;
+	int published; /* the record was written under the lease */
+	size_t published_rank;
+	uint64_t record_revision;
+	uint64_t rendezvous_at_ms;
+	struct store_call *rendezvous_call;
+};
+
+static void note_store(struct bootstrap *b, int error)
+{
+	int up = error != FESCUE_EUNAVAILABLE && error != FESCUE_ETIMEOUT;
+
+	if (up != b->store_up)
+		log_state("store is %s", up ? "answering" : "unreachable");
+	b->store_up = up;
+}
+
+static uint32_t jitter(struct bootstrap *b, uint32_t ms)
+{
+	return (uint32_t)g_rand_int_range(b->random, (gint)(ms / 2),
+					  (gint)ms + 1);
+}
+
+static uint32_t back_off(uint32_t *retry_ms)
+{
+	uint32_t now = *retry_ms;
+
+	*retry_ms = MIN(*retry_ms * 2, RETRY_MAX_MS);
+	return now;
+}
+
+static void retry_boot(struct bootstrap *b)
+{
+	b->phase = BOOT_WAIT;
+	b->attempt_at_ms =
+		node_now_ms(b->node) + jitter(b, back_off(&b->retry_ms));
+}
+
+static void on_revision(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->boot_call = NULL;
+	note_store(b, result->error);
+	if (result->error && result->error != FESCUE_ENOTFOUND) {
+		retry_boot(b);
+		return;
+	}
+	distribution_raise_floor(b->node->distribution, result->revision);
+	b->phase = BOOT_DONE;
+	b->confirmed = 1;
+	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
+		  result->revision);
+}
+
+static void join(struct bootstrap *b, const struct store_item *item)
+{
+	char *text = g_strndup(item->value ? item->value : "", item->size);
+	struct address address;
+
+	if (!address_parse(text, &address))
+		membership_join(b->node->membership, address_key(address),
+				&b->node->outbox);
+	g_free(text);
+}
+
+static void on_list(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->boot_call = NULL;
+	note_store(b, result->error);
+	if (result->error) {
+		retry_boot(b);
+		return;
+	}
+	for (size_t i = 0; i < result->item_count; i++)
+		join(b, &result->items[i]);
+	node_flush(b->node);
+	b->role_at_ms =
+		node_now_ms(b->node) + (result->item_count ? ROLE_DELAY_MS : 0);
+	b->phase = BOOT_REVISION;
+	b->boot_call =
+		store_get(b->node->store, STORE_CONFIG_KEY, 1, on_revision, b);
+}
+
+/* The store is out: peers that were heard for a while know the floor. */
+static void confirm_by_peers(struct bootstrap *b, uint64_t now_ms)
+{
+	struct node *node = b->node;
+
+	if (!membership_is_synced(node->membership)) {
+		b->synced_since_ms = 0;
+		return;
+	}
+	if (!b->synced_since_ms)
+		b->synced_since_ms = now_ms;
+	if (now_ms < b->synced_since_ms + SETTLE_MS)
+		return;
+	distribution_raise_floor(node->distribution,
+				 membership_highest_version(node->membership));
+	b->confirmed = 1;
+	b->phase = BOOT_DONE;
+	log_state("floor confirmed by peers at version %" G_GUINT64_FORMAT,
+		  distribution_floor(node->distribution));
+}
+
+static void boot_tick(struct bootstrap *b, uint64_t now_ms)
+{
+	if (b->phase == BOOT_WAIT && now_ms >= b->attempt_at_ms) {
+		b->phase = BOOT_LIST;
+		b->boot_call = store_list(b->node->store, RENDEZVOUS_PREFIX,
+					  on_list, b);
+	}
+	if (!b->confirmed)
+		confirm_by_peers(b, now_ms);
+}
+
+static void take_value(struct bootstrap *b, const struct store_result *result)
+{
+	struct envelope envelope;
+	struct node *node = b->node;
+	int bad = !result->value ||
+		  envelope_parse(result->value, result->size, &envelope);
+
+	b->watch_after = result->revision;
+	distribution_store_value(node->distribution, result->revision,
+				 bad ? NULL : envelope.text,
+				 bad ? 0 : envelope.text_size,
+				 "the stored value has no fescue header",
+				 node_now_ms(node), &node->outbox);
+	node_update_config(node);
+}
+
+static void on_watch(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+	uint64_t now_ms = node_now_ms(b->node);
+
+	b->watch_call = NULL;
+	if (result->error == FESCUE_OK) {
+		b->watch_retry_ms = RETRY_MIN_MS;
+		b->watch_at_ms = now_ms;
+		note_store(b, FESCUE_OK);
+		take_value(b, result);
+	} else {
+		b->watch_at_ms =
+			now_ms + jitter(b, back_off(&b->watch_retry_ms));
+		note_store(b, result->error);
+	}
+}
+
+/* A newcomer that knows no peer yet must not take itself for a relay. */
+static int may_take_role(const struct bootstrap *b, uint64_t now_ms)
+{
+	return b->phase == BOOT_DONE && now_ms >= b->role_at_ms;
+}
+
+static void watch_tick(struct bootstrap *b, uint64_t now_ms)
+{
+	if (!b->watching || b->watch_call || now_ms < b->watch_at_ms ||
+	    !may_take_role(b, now_ms))
+		return;
+	b->watch_call = store_watch(b->node->store, STORE_CONFIG_KEY,
+				    b->watch_after, on_watch, b);
+}
+
+static void on_published(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	note_store(b, result->error);
+	b->record_revision = result->revision;
+	b->published = result->error == FESCUE_OK;
+	if (result->error == FESCUE_ECONFLICT)
+		b->rendezvous_at_ms = 0;
+}
+
+static void on_granted(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	note_store(b, result->error);
+	if (result->error)
+		return;
+	b->lease = result->lease;
+	b->published = 0;
+	b->rendezvous_at_ms = 0;
+}
+
+static void on_renewed(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	note_store(b, result->error);
+	if (result->error == FESCUE_ENOTFOUND)
+		b->lease = 0;
+}
+
+static void publish(struct bootstrap *b)
+{
+	size_t rank = distribution_rank(b->node->distribution);
+	char key[160], value[ADDRESS_TEXT_BYTES];
+
+	if (rank != b->published_rank)
+		b->record_revision = 0;
+	b->published_rank = rank;
+	g_snprintf(key, sizeof(key), RENDEZVOUS_PREFIX "%s/%zu",
+		   b->node->settings.failure_domain, rank);
+	address_format(b->node->peer_address, value);
+	b->rendezvous_call = store_put(b->node->store, key, value,
+				       strlen(value), b->record_revision,
+				       b->lease, on_published, b);
+}
+
+/* A relay keeps a leased record by which newcomers find the fleet. */
+static void rendezvous_tick(struct bootstrap *b, uint64_t now_ms)
+{
+	size_t rank = distribution_rank(b->node->distribution);
+
+	if (rank >= b->node->settings.distribution.relays_per_domain ||
+	    b->rendezvous_call || !may_take_role(b, now_ms))
+		return;
+	if (b->published && rank != b->published_rank)
+		b->published = 0;
+	if (now_ms < b->rendezvous_at_ms)
+		return;
+	b->rendezvous_at_ms = now_ms + RENDEZVOUS_RENEW_MS;
+	if (!b->lease)
+		b->rendezvous_call = store_lease_grant(
+			b->node->store, RENDEZVOUS_TTL_MS, on_granted, b);
+	else if (!b->published)
+		publish(b);
+	else
+		b->rendezvous_call = store_lease_renew(b->node->store, b->lease,
+						       on_renewed, b);
+}
+
+void bootstrap_tick(struct bootstrap *b)
+{
+	uint64_t now_ms = node_now_ms(b->node);
+
+	boot_tick(b, now_ms);
+	watch_tick(b, now_ms);
+	rendezvous_tick(b, now_ms);
+}
+
+struct bootstrap *bootstrap_create(struct node *node, uint32_t seed)
+{
+	struct bootstrap *b = g_new0(struct bootstrap, 1);
+
+	b->node = node;
+	b->random = g_rand_new_with_seed(seed);
+	b->store_up = 1;
+	b->watch_retry_ms = RETRY_MIN_MS;
+	bootstrap_restart(b);
+	return b;
+}
+
+void bootstrap_destroy(struct bootstrap *b)
+{
+	if (!b)
+		return;
+	if (b->boot_call)
+		store_call_cancel(b->boot_call);
+	if (b->watch_call)
+		store_call_cancel(b->watch_call);
+	if (b->rendezvous_call)
+		store_call_cancel(b->rendezvous_call);
+	g_rand_free(b->random);
+	g_free(b);
+}
+
+void bootstrap_restart(struct bootstrap *b)
+{
+	uint32_t spread = b->node->settings.start_jitter_ms;
+
+	if (b->boot_call)
+		store_call_cancel(b->boot_call);
+	b->boot_call = NULL;
+	b->phase = BOOT_WAIT;
+	b->confirmed = 0;
+	b->synced_since_ms = 0;
+	b->retry_ms = RETRY_MIN_MS;
+	b->lease = 0;
+	b->published = 0;
+	b->attempt_at_ms =
+		node_now_ms(b->node) +
+		(uint64_t)g_rand_int_range(b->random, 0, (gint)spread);
+}
+
+void bootstrap_watch(struct bootstrap *b, int watch)
+{
+	b->watching = watch;
+	b->watch_at_ms = 0;
+	if (watch || !b->watch_call)
+		return;
+	store_call_cancel(b->watch_call);
+	b->watch_call = NULL;
+}
+
+int bootstrap_is_confirmed(const struct bootstrap *b)
+{
+	return b->confirmed;
+}
+
+int bootstrap_store_is_up(const struct bootstrap *b)
+{
+	return b->store_up;
+}
--- /dev/null
+++ b/src/envelope.c
@@ -0,0 +1,82 @@
+#include "fescue/envelope.h"
+
+#include "fescue/error.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <string.h>
+
+#define ENVELOPE_MAGIC "fescue 1"
+#define CHANGE_DIGITS 16
+
+static int parse_change(const char *text, size_t len, uint64_t *out)
+{
+	char digits[CHANGE_DIGITS + 1];
+	char *end;
+
+	if (len != CHANGE_DIGITS)
+		return FESCUE_EINVAL;
+	memcpy(digits, text, len);
+	digits[len] = '\0';
+	*out = g_ascii_strtoull(digits, &end, 16);
+	return end == digits + len ? FESCUE_OK : FESCUE_EINVAL;
+}
+
+int envelope_parse(const char *value, size_t size, struct envelope *out)
+{
+	const char *newline = memchr(value, '\n', size);
+	const size_t magic = strlen(ENVELOPE_MAGIC);
+	const char *p;
+	size_t changes = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (!newline || (size_t)(newline - value) < magic ||
+	    memcmp(value, ENVELOPE_MAGIC, magic))
+		return FESCUE_EINVAL;
+	for (p = value + magic; p < newline; p += 1 + CHANGE_DIGITS) {
+		uint64_t *slot = changes ? &out->ancestors[changes - 1] :
+					   &out->change;
+
+		if (*p != ' ' || changes > ENVELOPE_ANCESTORS_MAX ||
+		    newline - p < 1 + CHANGE_DIGITS ||
+		    parse_change(p + 1, CHANGE_DIGITS, slot))
+			return FESCUE_EINVAL;
+		changes++;
+	}
+	if (!changes)
+		return FESCUE_EINVAL;
+	out->ancestor_count = changes - 1;
+	out->text = newline + 1;
+	out->text_size = size - (size_t)(newline + 1 - value);
+	return FESCUE_OK;
+}
+
+char *envelope_build(uint64_t change, const struct envelope *base,
+		     const char *text, size_t text_size, size_t *size)
+{
+	GString *out = g_string_sized_new(text_size + 1200);
+	size_t kept;
+
+	g_string_printf(out, ENVELOPE_MAGIC " %016" PRIx64, change);
+	if (base) {
+		g_string_append_printf(out, " %016" PRIx64, base->change);
+		kept = MIN(base->ancestor_count, ENVELOPE_ANCESTORS_MAX - 1);
+		for (size_t i = 0; i < kept; i++)
+			g_string_append_printf(out, " %016" PRIx64,
+					       base->ancestors[i]);
+	}
+	g_string_append_c(out, '\n');
+	g_string_append_len(out, text, (gssize)text_size);
+	*size = out->len;
+	return g_string_free(out, FALSE);
+}
+
+enum envelope_fate envelope_find(const struct envelope *stored, uint64_t change)
+{
+	if (stored->change == change)
+		return ENVELOPE_CURRENT;
+	for (size_t i = 0; i < stored->ancestor_count; i++)
+		if (stored->ancestors[i] == change)
+			return ENVELOPE_REPLACED;
+	return ENVELOPE_ABSENT;
+}
--- /dev/null
+++ b/src/histogram.c
@@ -0,0 +1,58 @@
+#include "fescue/histogram.h"
+
+#define SUB_BITS 2
+#define SUB_BUCKETS (1u << SUB_BITS)
+
+static unsigned bucket_of(uint64_t value)
+{
+	unsigned shift, bucket;
+
+	if (value < SUB_BUCKETS)
+		return (unsigned)value;
+	shift = 63 - (unsigned)__builtin_clzll(value) - SUB_BITS;
+	bucket = (shift + 1) * SUB_BUCKETS +
+		 (unsigned)((value >> shift) & (SUB_BUCKETS - 1));
+	return bucket < HISTOGRAM_BUCKETS ? bucket : HISTOGRAM_BUCKETS - 1;
+}
+
+static uint64_t bucket_limit(unsigned bucket)
+{
+	unsigned shift;
+
+	if (bucket < SUB_BUCKETS)
+		return bucket;
+	shift = bucket / SUB_BUCKETS - 1;
+	return ((SUB_BUCKETS + bucket % SUB_BUCKETS + 1ull) << shift) - 1;
+}
+
+void histogram_record(struct histogram *histogram, uint64_t value)
+{
+	histogram->count++;
+	histogram->buckets[bucket_of(value)]++;
+	if (value > histogram->max)
+		histogram->max = value;
+}
+
+uint64_t histogram_percentile(const struct histogram *histogram, double share)
+{
+	uint64_t rank = (uint64_t)(share * (double)histogram->count + 0.999999);
+	uint64_t seen = 0;
+
+	for (unsigned i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		uint64_t limit = bucket_limit(i);
+
+		seen += histogram->buckets[i];
+		if (seen >= rank && seen)
+			return limit < histogram->max ? limit : histogram->max;
+	}
+	return histogram->max;
+}
+
+void histogram_merge(struct histogram *into, const struct histogram *from)
+{
+	into->count += from->count;
+	if (from->max > into->max)
+		into->max = from->max;
+	for (unsigned i = 0; i < HISTOGRAM_BUCKETS; i++)
+		into->buckets[i] += from->buckets[i];
+}
--- /dev/null
+++ b/src/history.c
@@ -0,0 +1,553 @@
+#include "fescue/history.h"
+
+#include "fescue/error.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+const struct history_settings history_defaults = {
+	.convergence_us = 3000000,
+	.leaving_us = 2000000,
+	.poison_max = 2,
+};
+
+enum record_type {
+	RECORD_ACCEPTED,
+	RECORD_STARTED,
+	RECORD_STOPPED,
+	RECORD_APPLIED,
+	RECORD_RUN,
+	RECORD_LEAVING,
+	RECORD_CALL,
+	RECORD_OTHER,
+};
+
+struct record {
+	enum record_type type;
+	uint64_t t_us;
+	char *source;
+	char *where; /* file:line */
+	uint64_t version;
+	char *hash;
+	char *id;
+	char *key;
+	char *outcome;
+	char *echo;
+	int whole;
+	int poison;
+};
+
+struct history {
+	struct history_settings settings;
+	GPtrArray *records;
+	size_t violations[HISTORY_PROPERTY_COUNT];
+	GArray *convergence_us; /* uint64_t */
+	struct history_summary summary;
+	FILE *out;
+};
+
+static void record_free(gpointer p)
+{
+	struct record *r = p;
+
+	g_free(r->source);
+	g_free(r->where);
+	g_free(r->hash);
+	g_free(r->id);
+	g_free(r->key);
+	g_free(r->outcome);
+	g_free(r->echo);
+	g_free(r);
+}
+
+struct history *history_create(const struct history_settings *settings)
+{
+	struct history *h = g_new0(struct history, 1);
+
+	h->settings = *settings;
+	h->records = g_ptr_array_new_with_free_func(record_free);
+	h->convergence_us = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	return h;
+}
+
+void history_destroy(struct history *h)
+{
+	if (!h)
+		return;
+	g_ptr_array_free(h->records, TRUE);
+	g_array_free(h->convergence_us, TRUE);
+	g_free(h);
+}
+
+static enum record_type type_of(const char *name)
+{
+	static const char *const names[] = {"accepted", "started", "stopped",
+					    "applied",	"run",	   "leaving",
+					    "call"};
+
+	for (size_t i = 0; name && i < G_N_ELEMENTS(names); i++)
+		if (!strcmp(name, names[i]))
+			return (enum record_type)i;
+	return RECORD_OTHER;
+}
+
+static char *text_field(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return g_strdup(text ? text : "");
+}
+
+static uint64_t number_field(const json_t *object, const char *key)
+{
+	return (uint64_t)json_integer_value(json_object_get(object, key));
+}
+
+int history_add(struct history *h, const char *name, size_t number,
+		const char *line, size_t size)
+{
+	json_t *object = json_loadb(line, size, 0, NULL);
+	struct record *r;
+
+	if (!json_is_object(object)) {
+		json_decref(object);
+		return FESCUE_EINVAL;
+	}
+	r = g_new0(struct record, 1);
+	r->type = type_of(json_string_value(json_object_get(object, "type")));
+	r->t_us = number_field(object, "t_us");
+	if (r->type == RECORD_ACCEPTED && number_field(object, "written_us"))
+		r->t_us = number_field(object, "written_us");
+	r->source = text_field(object, "source");
+	r->where = g_strdup_printf("%s:%zu", name, number);
+	r->version = number_field(object, "version");
+	r->hash = text_field(object, "hash");
+	r->id = text_field(object, "id");
+	r->key = text_field(object, "key");
+	r->outcome = text_field(object, "outcome");
+	r->echo = text_field(object, "echo");
+	r->whole = (int)number_field(object, "whole");
+	r->poison = (int)number_field(object, "poison");
+	g_ptr_array_add(h->records, r);
+	json_decref(object);
+	return FESCUE_OK;
+}
+
+static gint compare_times(gconstpointer a, gconstpointer b)
+{
+	const struct record *x = *(struct record *const *)a;
+	const struct record *y = *(struct record *const *)b;
+
+	return x->t_us < y->t_us ? -1 : x->t_us > y->t_us;
+}
+
+G_GNUC_PRINTF(4, 5)
+static void violate(struct history *h, enum history_property property,
+		    const struct record *at, const char *format, ...)
+{
+	va_list args;
+
+	h->violations[property]++;
+	if (!h->out)
+		return;
+	fprintf(h->out, "violation: %s: %s: ", history_property_name(property),
+		at->where);
+	va_start(args, format);
+	vfprintf(h->out, format, args);
+	va_end(args);
+	fputc('\n', h->out);
+}
+
+static const struct record *record_at(const struct history *h, guint i)
+{
+	return g_ptr_array_index(h->records, i);
+}
+
+static GHashTable *text_table(void)
+{
+	return g_hash_table_new(g_str_hash, g_str_equal);
+}
+
+/* Versions only rise at each address, across restarts too. */
+static void check_monotonic(struct history *h)
+{
+	GHashTable *last = text_table(); /* source -> applied record */
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i), *before;
+
+		if (r->type != RECORD_APPLIED)
+			continue;
+		before = g_hash_table_lookup(last, r->source);
+		if (before && r->version < before->version)
+			violate(h, HISTORY_VERSION_MONOTONIC, r,
+				"%s went from version %" PRIu64
+				" (%s) to %" PRIu64,
+				r->source, before->version, before->where,
+				r->version);
+		g_hash_table_insert(last, r->source, (gpointer)r);
+	}
+	g_hash_table_destroy(last);
+}
+
+static void check_same_text(struct history *h)
+{
+	GHashTable *first = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i), *before;
+
+		if (r->type != RECORD_APPLIED)
+			continue;
+		before = g_hash_table_lookup(first, &r->version);
+		if (!before)
+			g_hash_table_insert(first, (gpointer)&r->version,
+					    (gpointer)r);
+		else if (strcmp(before->hash, r->hash))
+			violate(h, HISTORY_VERSION_SAME_TEXT, r,
+				"version %" PRIu64 " has another text at %s",
+				r->version, before->where);
+	}
+	g_hash_table_destroy(first);
+}
+
+static GHashTable *accepted_versions(const struct history *h)
+{
+	GHashTable *accepted = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_ACCEPTED)
+			g_hash_table_insert(accepted, (gpointer)&r->version,
+					    (gpointer)r);
+	}
+	return accepted;
+}
+
+static void check_accepted(struct history *h)
+{
+	GHashTable *accepted = accepted_versions(h);
+
+	for (guint i = 0; g_hash_table_size(accepted) && i < h->records->len;
+	     i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_APPLIED &&
+		    !g_hash_table_contains(accepted, &r->version))
+			violate(h, HISTORY_VERSION_ACCEPTED, r,
+				"%s applied version %" PRIu64
+				", which nobody applied with success",
+				r->source, r->version);
+	}
+	g_hash_table_destroy(accepted);
+}
+
+/* The span in which a node ran without interruption around a time. */
+static int runs_through(const struct history *h, const char *source,
+			uint64_t from_us, uint64_t until_us)
+{
+	int running = 0;
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (strcmp(r->source, source))
+			continue;
+		if (r->t_us > until_us)
+			break;
+		if (r->type == RECORD_STARTED || r->type == RECORD_STOPPED) {
+			if (r->t_us >= from_us)
+				return 0;
+			running = r->type == RECORD_STARTED;
+		}
+	}
+	return running;
+}
+
+static const struct record *first_applied(const struct history *h, guint after,
+					  const char *source, uint64_t version)
+{
+	for (guint i = after; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_APPLIED && r->version >= version &&
+		    !strcmp(r->source, source))
+			return r;
+	}
+	return NULL;
+}
+
+static uint64_t end_of_history(const struct history *h)
+{
+	return h->records->len ? record_at(h, h->records->len - 1)->t_us : 0;
+}
+
+/* Applies are logged by the node itself, perhaps before the operator's tool
+ * has logged its success; look from a little earlier.
+ */
+static guint index_before(const struct history *h, uint64_t t_us)
+{
+	guint i = 0;
+
+	while (i < h->records->len && record_at(h, i)->t_us + 2000000 < t_us)
+		i++;
+	return i;
+}
+
+static void check_node_converged(struct history *h,
+				 const struct record *accepted,
+				 const char *source)
+{
+	uint64_t bound = accepted->t_us + h->settings.convergence_us;
+	const struct record *applied = first_applied(
+		h, index_before(h, accepted->t_us), source, accepted->version);
+	uint64_t took = 0;
+
+	if (!runs_through(h, source, accepted->t_us,
+			  MIN(bound, end_of_history(h))))
+		return;
+	if (applied && applied->t_us > accepted->t_us)
+		took = applied->t_us - accepted->t_us;
+	if (applied)
+		g_array_append_val(h->convergence_us, took);
+	if ((!applied && end_of_history(h) > bound) ||
+	    took > h->settings.convergence_us)
+		violate(h, HISTORY_CONVERGED, accepted,
+			"version %" PRIu64
+			" was not in force at %s after %" PRIu64 " ms",
+			accepted->version, source,
+			h->settings.convergence_us / 1000);
+}
+
+static GHashTable *node_sources(const struct history *h)
+{
+	GHashTable *sources = text_table();
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_STARTED)
+			g_hash_table_add(sources, r->source);
+	}
+	return sources;
+}
+
+static void check_converged(struct history *h)
+{
+	GHashTable *sources = node_sources(h);
+	GHashTableIter iter;
+	gpointer source;
+
+	h->summary.nodes = g_hash_table_size(sources);
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type != RECORD_ACCEPTED)
+			continue;
+		h->summary.versions++;
+		g_hash_table_iter_init(&iter, sources);
+		while (g_hash_table_iter_next(&iter, &source, NULL))
+			check_node_converged(h, r, source);
+	}
+	g_hash_table_destroy(sources);
+}
+
+/* Count runs by a text of the record: its id or its key. */
+static GHashTable *count_runs(const struct history *h, int by_key)
+{
+	GHashTable *runs = text_table();
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+		char *text = by_key ? r->key : r->id;
+		size_t n;
+
+		if (r->type != RECORD_RUN || !*text)
+			continue;
+		n = GPOINTER_TO_SIZE(g_hash_table_lookup(runs, text));
+		g_hash_table_insert(runs, text, GSIZE_TO_POINTER(n + 1));
+	}
+	return runs;
+}
+
+static void check_call(struct history *h, const struct record *r,
+		       GHashTable *runs)
+{
+	size_t ran = GPOINTER_TO_SIZE(g_hash_table_lookup(runs, r->id));
+
+	h->summary.calls++;
+	if (!strcmp(r->outcome, "ran")) {
+		h->summary.ran++;
+		if (!r->whole || (*r->echo && strcmp(r->echo, r->id)))
+			violate(h, HISTORY_OWN_ANSWER, r,
+				"call %s got the answer of '%s', whole=%d",
+				r->id, r->echo, r->whole);
+		if (!ran && !*r->key)
+			violate(h, HISTORY_RAN, r,
+				"call %s was said to have run and did not",
+				r->id);
+	} else if (!strcmp(r->outcome, "not-run")) {
+		h->summary.not_run++;
+		if (ran)
+			violate(h, HISTORY_NOT_RUN, r,
+				"call %s was said not to have run, but ran "
+				"%zu times",
+				r->id, ran);
+	} else {
+		h->summary.unknown++;
+	}
+}
+
+static void check_calls(struct history *h)
+{
+	GHashTable *runs = count_runs(h, 0);
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_CALL)
+			check_call(h, r, runs);
+		else if (r->type == RECORD_RUN)
+			h->summary.runs++;
+	}
+	g_hash_table_destroy(runs);
+}
+
+static void check_at_most_once(struct history *h)
+{
+	GHashTable *seen = text_table(); /* key -> first run */
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i), *first;
+
+		if (r->type != RECORD_RUN || !*r->key || r->poison)
+			continue;
+		first = g_hash_table_lookup(seen, r->key);
+		if (first)
+			violate(h, HISTORY_AT_MOST_ONCE, r,
+				"key %s ran again; first at %s", r->key,
+				first->where);
+		else
+			g_hash_table_insert(seen, r->key, (gpointer)r);
+	}
+	g_hash_table_destroy(seen);
+}
+
+/* Poison runs are told apart by the number in the record. */
+static void check_poison(struct history *h)
+{
+	GHashTable *crashes = g_hash_table_new(NULL, NULL);
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+		size_t n;
+
+		if (r->type != RECORD_RUN || !r->poison)
+			continue;
+		n = GPOINTER_TO_SIZE(g_hash_table_lookup(
+			    crashes, GINT_TO_POINTER(r->poison))) +
+		    1;
+		g_hash_table_insert(crashes, GINT_TO_POINTER(r->poison),
+				    GSIZE_TO_POINTER(n));
+		if (n > h->settings.poison_max)
+			violate(h, HISTORY_POISON, r,
+				"request %d crashed %zu backend servers",
+				r->poison, n);
+	}
+	g_hash_table_destroy(crashes);
+}
+
+static void check_leaving(struct history *h)
+{
+	GHashTable *left = text_table(); /* source -> leaving record */
+
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i), *leave;
+
+		if (r->type == RECORD_LEAVING)
+			g_hash_table_insert(left, r->source, (gpointer)r);
+		if (r->type == RECORD_STOPPED)
+			g_hash_table_remove(left, r->source);
+		if (r->type != RECORD_RUN)
+			continue;
+		leave = g_hash_table_lookup(left, r->source);
+		if (leave && r->t_us > leave->t_us + h->settings.leaving_us)
+			violate(h, HISTORY_LEAVING, r,
+				"%s got call %s %" PRIu64
+				" ms after its leave at %s",
+				r->source, r->id,
+				(r->t_us - leave->t_us) / 1000, leave->where);
+	}
+	g_hash_table_destroy(left);
+}
+
+size_t history_check(struct history *h, FILE *out)
+{
+	size_t total = 0;
+
+	h->out = out;
+	g_ptr_array_sort(h->records, compare_times);
+	check_monotonic(h);
+	check_same_text(h);
+	check_accepted(h);
+	check_converged(h);
+	check_calls(h);
+	check_at_most_once(h);
+	check_poison(h);
+	check_leaving(h);
+	for (int i = 0; i < HISTORY_PROPERTY_COUNT; i++)
+		total += h->violations[i];
+	return total;
+}
+
+size_t history_violations(const struct history *h,
+			  enum history_property property)
+{
+	return h->violations[property];
+}
+
+const char *history_property_name(enum history_property property)
+{
+	static const char *const names[HISTORY_PROPERTY_COUNT] = {
+		"version-monotonic",
+		"version-same-text",
+		"version-accepted",
+		"converged",
+		"own-answer",
+		"not-run",
+		"ran",
+		"at-most-once",
+		"poison",
+		"leaving",
+	};
+
+	return names[property];
+}
+
+static gint compare_numbers(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static uint64_t percentile(GArray *sorted, double share)
+{
+	guint i = (guint)(share * (sorted->len - 1) + 0.5);
+
+	return sorted->len ? g_array_index(sorted, uint64_t, i) : 0;
+}
+
+struct history_summary history_summarize(const struct history *h)
+{
+	struct history_summary s = h->summary;
+
+	g_array_sort(h->convergence_us, compare_numbers);
+	s.convergence_p50_us = percentile(h->convergence_us, 0.5);
+	s.convergence_p99_us = percentile(h->convergence_us, 0.99);
+	s.convergence_max_us = percentile(h->convergence_us, 1);
+	return s;
+}
--- /dev/null
+++ b/src/host.c
@@ -0,0 +1,27 @@
+#include "fescue/host.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t host_weight(uint64_t host, const char *purpose, uint64_t salt)
+{
+	uint64_t key[2] = {host, salt};
+	uint64_t seed = XXH64(purpose, strlen(purpose), 0);
+
+	return XXH64(key, sizeof(key), seed);
+}
+
+const char *host_state_name(enum host_state state)
+{
+	switch (state) {
+	case HOST_ALIVE:
+		return "alive";
+	case HOST_SUSPECT:
+		return "suspect";
+	case HOST_DEAD:
+		return "dead";
+	case HOST_LEFT:
+		return "left";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/src/http_client.h
@@ -0,0 +1,57 @@
+/*
+ * HTTP/1.1 client: pooled connections to one address, answers taken whole.
+ */
+#ifndef FESCUE_HTTP_CLIENT_H
+#define FESCUE_HTTP_CLIENT_H
+
+#include "fescue/address.h"
+#include "http_server.h"
+
+struct http_pool;
+struct http_call;
+
+struct http_request {
+	const char *method;
+	const char *path;
+	const struct http_header *headers;
+	size_t header_count;
+	const void *body;
+	size_t body_size;
+	uint32_t timeout_ms;
+};
+
+struct http_result {
+	int error; /* 0, or why there is no whole answer */
+	int sent;  /* the peer may have seen the request */
+	int status;
+	const struct http_header *headers;
+	size_t header_count;
+	const char *body;
+	size_t body_size;
+};
+
+/* idle_max connections are kept open while unused. */
+struct http_pool *http_pool_create(uv_loop_t *loop, struct address address,
+				   size_t idle_max);
+
+/* All its calls must have ended. */
+void http_pool_destroy(struct http_pool *pool);
+
+/*
+ * Send a request; everything in it is copied. done is called once from the
+ * loop, never from within this function, unless the call is canceled; the
+ * result is valid during the callback.
+ */
+struct http_call *
+http_pool_send(struct http_pool *pool, const struct http_request *request,
+	       void (*done)(void *data, const struct http_result *result),
+	       void *data);
+
+/* Give up a call; done is not called any more. */
+void http_call_cancel(struct http_call *call);
+
+/* Find a header of a result by lower-case name, or NULL. */
+const char *http_result_header(const struct http_result *result,
+			       const char *name);
+
+#endif
--- /dev/null
+++ b/src/http_server.c
@@ -0,0 +1,364 @@
+#include "http_server.h"
+
+#include "fescue/error.h"
+
+#include <glib.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 512
+#define HTTP_IDLE_TIMEOUT_MS 60000
+
+struct http_server {
+	h2o_globalconf_t config;
+	h2o_context_t context;
+	h2o_accept_ctx_t accept;
+	uv_tcp_t listener;
+	size_t connections;
+	size_t connections_max; /* 0: no limit */
+	GHashTable *waiting;	/* socket -> exchange; HTTP/1 has one each */
+	void (*handle)(void *data, struct http_exchange *exchange);
+	void *data;
+};
+
+struct handler {
+	h2o_handler_t super;
+	struct http_server *server;
+};
+
+struct http_exchange {
+	struct http_server *server;
+	h2o_req_t *req;
+	h2o_socket_t *watched; /* read for the caller's leave, or NULL */
+	void (*closed)(void *data);
+	void *data;
+};
+
+static struct http_text to_text(h2o_iovec_t v)
+{
+	struct http_text text = {v.base, v.len};
+
+	return text;
+}
+
+static void notify_closed(struct http_exchange *exchange)
+{
+	void (*closed)(void *data) = exchange->closed;
+
+	exchange->closed = NULL;
+	if (closed)
+		closed(exchange->data);
+}
+
+/* The request's memory pool is released: its connection is gone. */
+static void exchange_dispose(void *p)
+{
+	struct http_exchange *exchange = *(struct http_exchange **)p;
+
+	if (exchange->watched)
+		g_hash_table_remove(exchange->server->waiting,
+				    exchange->watched);
+	notify_closed(exchange);
+	g_free(exchange);
+}
+
+static h2o_socket_t *exchange_socket(const struct http_exchange *exchange)
+{
+	h2o_conn_t *conn = exchange->req->conn;
+
+	return conn->callbacks->get_socket(conn);
+}
+
+static void stop_waiting(struct http_exchange *exchange)
+{
+	exchange->closed = NULL;
+	if (!exchange->watched)
+		return;
+	g_hash_table_remove(exchange->server->waiting, exchange->watched);
+	h2o_socket_read_stop(exchange->watched);
+	exchange->watched = NULL;
+}
+
+static struct http_server *server_of_socket(h2o_socket_t *sock)
+{
+	h2o_conn_t *conn = sock->data;
+
+	return H2O_STRUCT_FROM_MEMBER(struct http_server, context, conn->ctx);
+}
+
+/* Bytes read here are a pipelined request; an error is the caller's leave. */
+static void on_early_read(h2o_socket_t *sock, const char *error)
+{
+	struct http_exchange *exchange =
+		g_hash_table_lookup(server_of_socket(sock)->waiting, sock);
+
+	if (!error || !exchange) {
+		h2o_socket_read_stop(sock);
+		return;
+	}
+	notify_closed(exchange);
+	stop_waiting(exchange);
+	exchange->req->http1_is_persistent = 0;
+	h2o_send_error_generic(exchange->req, 408, "Closed", "closed",
+			       H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+}
+
+static void start_waiting(struct http_exchange *exchange)
+{
+	exchange->watched = exchange_socket(exchange);
+	g_hash_table_insert(exchange->server->waiting, exchange->watched,
+			    exchange);
+	h2o_socket_read_start(exchange->watched, on_early_read);
+}
+
+static int on_request(h2o_handler_t *super, h2o_req_t *req)
+{
+	struct http_server *server = ((struct handler *)super)->server;
+	struct http_exchange *exchange = g_new0(struct http_exchange, 1);
+	struct http_exchange **slot;
+
+	slot = h2o_mem_alloc_shared(&req->pool, sizeof(*slot),
+				    exchange_dispose);
+	*slot = exchange;
+	exchange->server = server;
+	exchange->req = req;
+	server->handle(server->data, exchange);
+	return 0;
+}
+
+struct connection {
+	uv_tcp_t tcp; /* first: libuv hands this back */
+	struct http_server *server;
+};
+
+static void on_socket_closed(uv_handle_t *handle)
+{
+	struct connection *connection = (struct connection *)handle;
+
+	connection->server->connections--;
+	g_free(connection);
+}
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	struct http_server *server = listener->data;
+	struct connection *connection;
+	uv_tcp_t *tcp;
+
+	if (status)
+		return;
+	connection = g_new0(struct connection, 1);
+	connection->server = server;
+	server->connections++;
+	tcp = &connection->tcp;
+	uv_tcp_init(listener->loop, tcp);
+	if (uv_accept(listener, (uv_stream_t *)tcp) ||
+	    (server->connections_max &&
+	     server->connections > server->connections_max)) {
+		uv_close((uv_handle_t *)tcp, on_socket_closed);
+		return;
+	}
+	uv_tcp_nodelay(tcp, 1);
+	h2o_accept(&server->accept,
+		   h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed));
+}
+
+static void configure(struct http_server *server, uv_loop_t *loop)
+{
+	h2o_hostconf_t *host;
+	h2o_pathconf_t *path;
+	struct handler *handler;
+
+	h2o_config_init(&server->config);
+	server->config.max_request_entity_size = HTTP_MAX_BODY_BYTES;
+	server->config.http1.upgrade_to_http2 = 0;
+	server->config.http1.req_timeout = HTTP_IDLE_TIMEOUT_MS;
+	server->config.server_name = h2o_iovec_init(H2O_STRLIT("fescue"));
+	host = h2o_config_register_host(
+		&server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+	path = h2o_config_register_path(host, "/", 0);
+	handler = (struct handler *)h2o_create_handler(path, sizeof(*handler));
+	handler->super.on_req = on_request;
+	handler->server = server;
+	h2o_context_init(&server->context, loop, &server->config);
+	server->accept.ctx = &server->context;
+	server->accept.hosts = server->config.hosts;
+}
+
+int http_server_create(uv_loop_t *loop, struct address address,
+		       void (*handle)(void *data,
+				      struct http_exchange *exchange),
+		       void *data, struct http_server **out)
+{
+	struct http_server *server = g_new0(struct http_server, 1);
+	struct sockaddr_in in = address_to_sockaddr(address);
+
+	server->handle = handle;
+	server->data = data;
+	server->waiting = g_hash_table_new(NULL, NULL);
+	configure(server, loop);
+	uv_tcp_init(loop, &server->listener);
+	server->listener.data = server;
+	*out = server;
+	if (uv_tcp_bind(&server->listener, (struct sockaddr *)&in, 0) ||
+	    uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+		      on_connection))
+		return FESCUE_EIO;
+	return FESCUE_OK;
+}
+
+void http_server_limit(struct http_server *server, size_t connections)
+{
+	server->connections_max = connections;
+}
+
+void http_server_stop(struct http_server *server)
+{
+	if (!uv_is_closing((uv_handle_t *)&server->listener))
+		uv_close((uv_handle_t *)&server->listener, NULL);
+}
+
+struct http_text http_exchange_method(const struct http_exchange *exchange)
+{
+	return to_text(exchange->req->method);
+}
+
+struct http_text http_exchange_path(const struct http_exchange *exchange)
+{
+	return to_text(exchange->req->path);
+}
+
+struct http_text http_exchange_host(const struct http_exchange *exchange)
+{
+	return to_text(exchange->req->authority);
+}
+
+struct http_text http_exchange_body(const struct http_exchange *exchange)
+{
+	return to_text(exchange->req->entity);
+}
+
+struct http_text http_exchange_header(const struct http_exchange *exchange,
+				      const char *name)
+{
+	struct http_text n, value = {NULL, 0};
+	size_t len = strlen(name);
+
+	for (size_t i = 0; i < http_exchange_header_count(exchange); i++) {
+		http_exchange_header_at(exchange, i, &n, &value);
+		if (n.size == len && !g_ascii_strncasecmp(n.bytes, name, len))
+			return value;
+	}
+	value.bytes = NULL;
+	value.size = 0;
+	return value;
+}
+
+size_t http_exchange_header_count(const struct http_exchange *exchange)
+{
+	return exchange->req->headers.size;
+}
+
+void http_exchange_header_at(const struct http_exchange *exchange, size_t i,
+			     struct http_text *name, struct http_text *value)
+{
+	const h2o_header_t *header = &exchange->req->headers.entries[i];
+
+	*name = to_text(*header->name);
+	*value = to_text(header->value);
+}
+
+static size_t path_length(const struct http_exchange *exchange)
+{
+	size_t query = exchange->req->query_at;
+
+	return query == SIZE_MAX ? exchange->req->path.len : query;
+}
+
+char *http_exchange_query(const struct http_exchange *exchange,
+			  const char *name)
+{
+	size_t start = path_length(exchange);
+	const h2o_iovec_t *path = &exchange->req->path;
+	size_t name_len = strlen(name);
+	char *query, *value = NULL;
+	char **parts;
+
+	if (start >= path->len)
+		return NULL;
+	query = g_strndup(path->base + start + 1, path->len - start - 1);
+	parts = g_strsplit(query, "&", 32);
+	for (char **part = parts; *part && !value; part++)
+		if (!strncmp(*part, name, name_len) && (*part)[name_len] == '=')
+			value = g_uri_unescape_string(*part + name_len + 1,
+						      NULL);
+	g_strfreev(parts);
+	g_free(query);
+	return value;
+}
+
+int http_exchange_path_is(const struct http_exchange *exchange,
+			  const char *text)
+{
+	size_t len = path_length(exchange);
+
+	return len == strlen(text) &&
+	       !memcmp(exchange->req->path.base, text, len);
+}
+
+void http_exchange_on_close(struct http_exchange *exchange,
+			    void (*closed)(void *data), void *data)
+{
+	exchange->closed = closed;
+	exchange->data = data;
+	start_waiting(exchange);
+}
+
+static void add_header(h2o_req_t *req, const struct http_header *header)
+{
+	h2o_iovec_t name = h2o_strdup(&req->pool, header->name, SIZE_MAX);
+	h2o_iovec_t value = h2o_strdup(&req->pool, header->value, SIZE_MAX);
+
+	h2o_add_header_by_str(&req->pool, &req->res.headers, name.base,
+			      name.len, 1, NULL, value.base, value.len);
+}
+
+void http_exchange_reply(struct http_exchange *exchange, int status,
+			 const struct http_header *headers, size_t count,
+			 const void *body, size_t size)
+{
+	h2o_req_t *req = exchange->req;
+
+	stop_waiting(exchange);
+	req->res.status = status;
+	req->res.reason = "Answer";
+	req->res.content_length = size;
+	for (size_t i = 0; i < count; i++)
+		add_header(req, &headers[i]);
+	h2o_send_inline(req, size ? body : "", size);
+}
+
+void http_exchange_reply_text(struct http_exchange *exchange, int status,
+			      const char *type, const char *text)
+{
+	struct http_header header = {"content-type", type};
+
+	http_exchange_reply(exchange, status, &header, 1, text, strlen(text));
+}
+
+void http_exchange_abort(struct http_exchange *exchange)
+{
+	h2o_req_t *req = exchange->req;
+	h2o_socket_t *sock = exchange_socket(exchange);
+	static h2o_generator_t generator;
+
+	stop_waiting(exchange);
+	req->http1_is_persistent = 0;
+	req->res.status = 500;
+	req->res.content_length = 1;
+	shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+	h2o_start_response(req, &generator);
+	h2o_send(req, NULL, 0, H2O_SEND_STATE_ERROR);
+}
--- /dev/null
+++ b/src/http_server.h
@@ -0,0 +1,86 @@
+/*
+ * HTTP/1.1 server: one handler gets every request whole and answers each
+ * once, at any later time on the same loop.
+ */
+#ifndef FESCUE_HTTP_SERVER_H
+#define FESCUE_HTTP_SERVER_H
+
+#include "fescue/address.h"
+
+#include <stddef.h>
+#include <uv.h>
+
+#define HTTP_MAX_BODY_BYTES (4 * 1024 * 1024)
+
+struct http_server;
+
+/* One request that waits for its answer. */
+struct http_exchange;
+
+struct http_header {
+	const char *name; /* lower case */
+	const char *value;
+};
+
+/* A span of bytes owned by the exchange. */
+struct http_text {
+	const char *bytes;
+	size_t size;
+};
+
+/*
+ * Listen on address. handle is called for each request with data; it must
+ * see to it that http_exchange_reply() is called once, unless the caller
+ * goes away first. Returns 0 or FESCUE_EIO.
+ */
+int http_server_create(uv_loop_t *loop, struct address address,
+		       void (*handle)(void *data,
+				      struct http_exchange *exchange),
+		       void *data, struct http_server **out);
+
+/* Close new connections at once while this many are open; 0: no limit. */
+void http_server_limit(struct http_server *server, size_t connections);
+
+/* Stop to accept connections; open ones go on. */
+void http_server_stop(struct http_server *server);
+
+struct http_text http_exchange_method(const struct http_exchange *exchange);
+struct http_text http_exchange_path(const struct http_exchange *exchange);
+struct http_text http_exchange_host(const struct http_exchange *exchange);
+struct http_text http_exchange_body(const struct http_exchange *exchange);
+
+/* Value of the header, or bytes NULL. name is lower case. */
+struct http_text http_exchange_header(const struct http_exchange *exchange,
+				      const char *name);
+size_t http_exchange_header_count(const struct http_exchange *exchange);
+void http_exchange_header_at(const struct http_exchange *exchange, size_t i,
+			     struct http_text *name, struct http_text *value);
+
+/* Value of a query parameter, copied; release with g_free(). NULL: absent. */
+char *http_exchange_query(const struct http_exchange *exchange,
+			  const char *name);
+
+/* Does the path, without its query, equal text? */
+int http_exchange_path_is(const struct http_exchange *exchange,
+			  const char *text);
+
+/*
+ * closed is called at most once, when the caller went away before the reply;
+ * the exchange is invalid afterwards.
+ */
+void http_exchange_on_close(struct http_exchange *exchange,
+			    void (*closed)(void *data), void *data);
+
+/* Answer; the exchange is invalid afterwards. Everything is copied. */
+void http_exchange_reply(struct http_exchange *exchange, int status,
+			 const struct http_header *headers, size_t count,
+			 const void *body, size_t size);
+
+/* Answer with a NUL-terminated text of the given content type. */
+void http_exchange_reply_text(struct http_exchange *exchange, int status,
+			      const char *type, const char *text);
+
+/* Cut the connection without an answer, as a crash would. */
+void http_exchange_abort(struct http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,390 @@
+#include "node.h"
+
+#include "backend_server.h"
+#include "bootstrap.h"
+#include "caller.h"
+#include "events.h"
+#include "fescue/error.h"
+#include "log.h"
+#include "operator.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#define TICK_MS 50
+#define LINK_IDLE_MS 660000
+#define CUT_OFF_MS 5000
+#define DRAIN_NOTICE_MS 300 /* for peers to learn of the stop */
+
+uint64_t node_now_ms(const struct node *node)
+{
+	return uv_now(node->loop);
+}
+
+void node_flush(struct node *node)
+{
+	struct outgoing *outgoing;
+
+	while ((outgoing = outbox_take(&node->outbox))) {
+		transport_send(node->transport, outgoing->to, outgoing->purpose,
+			       outgoing->packet);
+		outgoing_destroy(outgoing);
+	}
+}
+
+int node_is_draining(const struct node *node)
+{
+	return node->drain_deadline_ms != 0;
+}
+
+int node_is_ready(const struct node *node, const char **why)
+{
+	*why = "";
+	if (node_is_draining(node))
+		*why = "the node is stopping";
+	else if (!bootstrap_is_confirmed(node->bootstrap))
+		*why = "the node does not know the newest version yet";
+	else if (!node->snapshot)
+		*why = "no configuration is in force yet";
+	else if (distribution_version(node->distribution) <
+		 distribution_floor(node->distribution))
+		*why = "the node has not reached the newest version yet";
+	return !**why;
+}
+
+/* Hosts that serve, as input for a snapshot. */
+static GArray *serving_hosts(const struct node *node)
+{
+	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(struct snapshot_host));
+
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const struct host *host = membership_host(node->membership, i);
+		struct snapshot_host entry = {host->address, host->service,
+					      host->failure_domain,
+					      host->slots};
+
+		if (host_is_serving(host))
+			g_array_append_val(hosts, entry);
+	}
+	return hosts;
+}
+
+static void swap_snapshot(struct node *node, struct snapshot *next)
+{
+	struct snapshot *old = node->snapshot;
+
+	g_assert(!old || snapshot_version(next) >= snapshot_version(old));
+	node->snapshot = next;
+	node->snapshot_generation = membership_generation(node->membership);
+	node->counters.values[COUNTER_snapshots_compiled]++;
+	snapshot_unref(old);
+}
+
+static void apply(struct node *node, const struct distribution_action *action)
+{
+	GArray *hosts = serving_hosts(node);
+	struct snapshot *next;
+	struct diagnostic why;
+	size_t count;
+	int error = snapshot_create(
+		action->version, action->u.apply.text, action->u.apply.size,
+		(const struct snapshot_host *)(void *)hosts->data, hosts->len,
+		&next, &why, 1, &count);
+
+	g_array_free(hosts, TRUE);
+	g_assert(!error); /* the distribution has checked the text */
+	swap_snapshot(node, next);
+	membership_set_version(node->membership, action->version,
+			       action->u.apply.hash);
+	node->counters.values[COUNTER_config_applied]++;
+	event_log_write(node->events, "applied",
+			"\"version\":%" PRIu64 ",\"hash\":\"%016" PRIx64 "\"",
+			action->version, action->u.apply.hash);
+	log_state("configuration version %" PRIu64 " is in force",
+		  action->version);
+}
+
+static void note_rejection(struct node *node,
+			   const struct distribution_action *action)
+{
+	const struct diagnostic *why = &action->u.reject;
+
+	node->counters.values[COUNTER_config_rejected]++;
+	log_error("configuration version %" PRIu64
+		  " is refused: line %u column %u: %s; %s",
+		  action->version, why->line, why->column, why->what,
+		  why->remedy);
+	event_log_write(node->events, "rejected", "\"version\":%" PRIu64,
+			action->version);
+}
+
+static void refresh_hosts(struct node *node)
+{
+	GArray *hosts;
+
+	if (!node->snapshot || node->snapshot_generation ==
+				       membership_generation(node->membership))
+		return;
+	hosts = serving_hosts(node);
+	swap_snapshot(node,
+		      snapshot_with_hosts(
+			      node->snapshot,
+			      (const struct snapshot_host *)(void *)hosts->data,
+			      hosts->len));
+	g_array_free(hosts, TRUE);
+}
+
+void node_update_config(struct node *node)
+{
+	struct distribution_action action;
+
+	while (distribution_next_action(node->distribution, &action)) {
+		switch (action.type) {
+		case DISTRIBUTION_APPLY:
+			apply(node, &action);
+			break;
+		case DISTRIBUTION_REJECT:
+			note_rejection(node, &action);
+			break;
+		case DISTRIBUTION_WATCH:
+			bootstrap_watch(node->bootstrap, 1);
+			break;
+		case DISTRIBUTION_UNWATCH:
+			bootstrap_watch(node->bootstrap, 0);
+			break;
+		}
+	}
+	refresh_hosts(node);
+	node_flush(node);
+}
+
+static const Fescue__Gossip *gossip_of(const Fescue__Packet *packet)
+{
+	switch (packet->body_case) {
+	case FESCUE__PACKET__BODY_PING:
+		return packet->ping->gossip;
+	case FESCUE__PACKET__BODY_ACK:
+		return packet->ack->gossip;
+	case FESCUE__PACKET__BODY_PING_REQUEST:
+		return packet->ping_request->gossip;
+	default:
+		return NULL;
+	}
+}
+
+static void receive_control(struct node *node, uint64_t from,
+			    const Fescue__Packet *packet)
+{
+	const Fescue__Gossip *gossip = gossip_of(packet);
+	uint64_t now_ms = node_now_ms(node);
+
+	membership_receive(node->membership, from, packet, now_ms,
+			   &node->outbox);
+	if (gossip)
+		distribution_peer_version(node->distribution, from,
+					  gossip->version, gossip->hash, now_ms,
+					  &node->outbox);
+	distribution_receive(node->distribution, from, packet, now_ms,
+			     &node->outbox);
+	node_update_config(node);
+}
+
+static void on_packet(void *data, uint64_t from, const Fescue__Packet *packet)
+{
+	struct node *node = data;
+
+	switch (packet->body_case) {
+	case FESCUE__PACKET__BODY_CALL_REQUEST:
+		backend_server_call(node->backend, from, packet->call_request);
+		break;
+	case FESCUE__PACKET__BODY_CALL_ANSWER:
+		caller_table_answer(node->callers, from, packet->call_answer);
+		break;
+	case FESCUE__PACKET__BODY_CALL_CANCEL:
+		backend_server_cancel(node->backend, from,
+				      packet->call_cancel->call_id);
+		break;
+	default:
+		receive_control(node, from, packet);
+		break;
+	}
+}
+
+static void on_link_closed(void *data, uint64_t peer, int connected)
+{
+	struct node *node = data;
+
+	caller_table_peer_gone(node->callers, peer, connected);
+	if (connected)
+		backend_server_peer_gone(node->backend, peer);
+}
+
+static void review_contact(struct node *node)
+{
+	uint64_t last = membership_last_contact_ms(node->membership);
+	int cut_off = membership_count(node->membership) > 1 &&
+		      node_now_ms(node) > last + CUT_OFF_MS;
+
+	if (cut_off != node->cut_off)
+		log_state(cut_off ? "cut off: no peer answers" :
+				    "peers answer again");
+	node->cut_off = cut_off;
+}
+
+static void finish_drain(struct node *node)
+{
+	uint64_t now_ms = node_now_ms(node);
+	uint64_t started = node->drain_deadline_ms - node->settings.drain_ms;
+	int idle = !caller_table_in_flight(node->callers) &&
+		   !backend_server_in_flight(node->backend);
+
+	if (now_ms < started + DRAIN_NOTICE_MS)
+		return;
+	if (!idle && now_ms < node->drain_deadline_ms)
+		return;
+	log_state("stopped with %zu calls and %u runs in flight",
+		  caller_table_in_flight(node->callers),
+		  backend_server_in_flight(node->backend));
+	uv_stop(node->loop);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct node *node = timer->data;
+	uint64_t now_ms = node_now_ms(node);
+
+	if (membership_tick(node->membership, now_ms, &node->outbox)) {
+		log_state("was frozen: confirming the newest version");
+		node->counters.values[COUNTER_freezes]++;
+		bootstrap_restart(node->bootstrap);
+	}
+	distribution_tick(node->distribution, now_ms, &node->outbox);
+	bootstrap_tick(node->bootstrap);
+	backend_server_tick(node->backend);
+	caller_table_tick(node->callers);
+	transport_expire(node->transport, LINK_IDLE_MS);
+	review_contact(node);
+	node_update_config(node);
+	if (node_is_draining(node))
+		finish_drain(node);
+}
+
+void node_drain(struct node *node)
+{
+	if (node_is_draining(node))
+		return;
+	log_state("stopping: refusing new work");
+	node->drain_deadline_ms = node_now_ms(node) + node->settings.drain_ms;
+	backend_server_drain(node->backend);
+	membership_leave(node->membership, &node->outbox);
+	http_server_stop(node->caller_server);
+	node_update_config(node);
+}
+
+static void on_signal(uv_signal_t *signal, int number)
+{
+	(void)number;
+	node_drain(signal->data);
+}
+
+static void create_decisions(struct node *node)
+{
+	const struct node_settings *s = &node->settings;
+	uint32_t seed =
+		(uint32_t)(uv_hrtime() ^ node->own ^ (uint64_t)getpid() << 16);
+	struct host self = {
+		.address = node->own,
+		.incarnation = wall_clock_us() / 1000,
+		.state = HOST_ALIVE,
+		.operator_port = (uint16_t)s->operator_port,
+		.caller_port = (uint16_t)s->caller_port,
+	};
+
+	g_strlcpy(self.failure_domain, s->failure_domain,
+		  sizeof(self.failure_domain));
+	node->membership = membership_create(&s->membership, &self, seed,
+					     node_now_ms(node));
+	node->distribution =
+		distribution_create(&s->distribution, node->membership);
+	node->bootstrap = bootstrap_create(node, seed + 1);
+	node->backend = backend_server_create(node);
+	node->callers = caller_table_create(node, seed + 2);
+}
+
+static int open_sockets(struct node *node)
+{
+	const struct node_settings *s = &node->settings;
+	struct transport_events events = {on_packet, on_link_closed, node};
+	struct address callers = {s->address, (uint16_t)s->caller_port};
+	struct address operators = {s->operator_address,
+				    (uint16_t)s->operator_port};
+	int error = transport_create(node->loop, node->peer_address, &events,
+				     &node->counters, &node->transport);
+
+	if (!error)
+		error = http_server_create(node->loop, callers,
+					   caller_table_request, node,
+					   &node->caller_server);
+	if (!error)
+		error = http_server_create(node->loop, operators,
+					   operator_request, node,
+					   &node->operator_server);
+	return error;
+}
+
+static void start_timers(struct node *node)
+{
+	uv_timer_init(node->loop, &node->tick);
+	node->tick.data = node;
+	uv_timer_start(&node->tick, on_tick, TICK_MS, TICK_MS);
+	uv_signal_init(node->loop, &node->sigterm);
+	uv_signal_init(node->loop, &node->sigint);
+	node->sigterm.data = node;
+	node->sigint.data = node;
+	uv_signal_start(&node->sigterm, on_signal, SIGTERM);
+	uv_signal_start(&node->sigint, on_signal, SIGINT);
+}
+
+int node_create(uv_loop_t *loop, const struct node_settings *settings,
+		struct event_log *events, struct node **out)
+{
+	struct node *node = g_new0(struct node, 1);
+	int error;
+
+	*out = node;
+	node->loop = loop;
+	node->settings = *settings;
+	node->events = events;
+	node->peer_address.ip = settings->address;
+	node->peer_address.port = (uint16_t)settings->peer_port;
+	node->own = address_key(node->peer_address);
+	g_queue_init(&node->outbox.queue);
+	node->store =
+		store_client_create(loop, settings->store, &node->counters);
+	create_decisions(node);
+	error = open_sockets(node);
+	if (error)
+		return error;
+	start_timers(node);
+	event_log_write(events, "started", "\"pid\":%d", (int)getpid());
+	return FESCUE_OK;
+}
+
+void node_destroy(struct node *node)
+{
+	if (!node)
+		return;
+	if (node->transport)
+		transport_stop(node->transport);
+	caller_table_destroy(node->callers);
+	backend_server_destroy(node->backend);
+	bootstrap_destroy(node->bootstrap);
+	store_client_destroy(node->store);
+	distribution_destroy(node->distribution);
+	membership_destroy(node->membership);
+	snapshot_unref(node->snapshot);
+	outbox_clear(&node->outbox);
+	g_free(node);
+}
--- /dev/null
+++ b/src/node_settings.c
@@ -0,0 +1,77 @@
+#include "node_settings.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define FIELD(member) offsetof(struct node_settings, member)
+#define NUMBER(key, member, min, max)                                 \
+	{                                                             \
+		key, SETTING_NUMBER, FIELD(member), 0, min, max, NULL \
+	}
+
+static const char *const modes[] = {"relay", "gossip", "poll", NULL};
+static const char *const router_policies[] = {"two-choices", "random", NULL};
+static const char *const admission_policies[] = {"classes", "fifo", NULL};
+
+static const struct setting table[] = {
+	{"address", SETTING_IP, FIELD(address), 1, 0, 0, NULL},
+	{"peer_port", SETTING_NUMBER, FIELD(peer_port), 1, 1, 65535, NULL},
+	{"caller_port", SETTING_NUMBER, FIELD(caller_port), 1, 1, 65535, NULL},
+	{"operator_port", SETTING_NUMBER, FIELD(operator_port), 1, 1, 65535,
+	 NULL},
+	{"operator_address", SETTING_IP, FIELD(operator_address), 0, 0, 0,
+	 NULL},
+	{"failure_domain", SETTING_TEXT, FIELD(failure_domain), 1, 0, 0, NULL},
+	{"store", SETTING_ADDRESS, FIELD(store), 1, 0, 0, NULL},
+	{"distribution", SETTING_CHOICE, FIELD(distribution.mode), 0, 0, 0,
+	 modes},
+	{"router_policy", SETTING_CHOICE, FIELD(router_policy), 0, 0, 0,
+	 router_policies},
+	{"admission_policy", SETTING_CHOICE, FIELD(admission_policy), 0, 0, 0,
+	 admission_policies},
+	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
+	NUMBER("drain_ms", drain_ms, 0, 600000),
+	NUMBER("claim_shards", claim_shards, 1, 256),
+	NUMBER("claim_interval_ms", claim_interval_ms, 0, 10000),
+	NUMBER("claim_retention_ms", claim_retention_ms, 1000, 604800000),
+	NUMBER("deltas", deltas, 0, 1),
+	NUMBER("relays_per_domain", distribution.relays_per_domain, 1, 16),
+	NUMBER("fan_out", distribution.fan_out, 1, 64),
+	NUMBER("ack_timeout_ms", distribution.ack_timeout_ms, 10, 60000),
+	NUMBER("backup_delay_ms", distribution.backup_delay_ms, 10, 60000),
+	NUMBER("fetch_timeout_ms", distribution.fetch_timeout_ms, 10, 60000),
+	NUMBER("probe_period_ms", membership.probe_period_ms, 50, 60000),
+	NUMBER("probe_timeout_ms", membership.probe_timeout_ms, 10, 60000),
+	NUMBER("indirect_probes", membership.indirect_probes, 0, 16),
+	NUMBER("suspicion_ms", membership.suspicion_ms, 100, 600000),
+	NUMBER("updates_per_packet", membership.updates_per_packet, 1, 64),
+	NUMBER("sync_interval_ms", membership.sync_interval_ms, 100, 600000),
+	NUMBER("dead_retention_ms", membership.dead_retention_ms, 1000,
+	       86400000),
+};
+
+void node_settings_init(struct node_settings *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	settings->operator_address = INADDR_LOOPBACK;
+	settings->start_jitter_ms = 500;
+	settings->drain_ms = 30000;
+	settings->claim_shards = 8;
+	settings->claim_interval_ms = 50;
+	settings->claim_retention_ms = 86400000;
+	settings->membership = membership_defaults;
+	settings->distribution = distribution_defaults;
+	settings->deltas = 1;
+}
+
+int node_settings_read(const char *path, struct node_settings *settings,
+		       char message[SETTINGS_ERROR_BYTES])
+{
+	int error;
+
+	node_settings_init(settings);
+	error = settings_read(path, table, sizeof(table) / sizeof(*table),
+			      settings, message);
+	settings->distribution.deltas = (int)settings->deltas;
+	return error;
+}
--- /dev/null
+++ b/src/operator.c
@@ -0,0 +1,216 @@
+#include "operator.h"
+
+#include "backend_server.h"
+#include "bootstrap.h"
+#include "caller.h"
+
+#include <jansson.h>
+#include <string.h>
+
+static void reply_json(struct http_exchange *exchange, int status, json_t *json)
+{
+	char *text = json_dumps(json, JSON_INDENT(1));
+
+	http_exchange_reply_text(exchange, status, "application/json", text);
+	free(text);
+	json_decref(json);
+}
+
+static void reply_counters(struct node *node, struct http_exchange *exchange)
+{
+	GString *out = g_string_new(NULL);
+
+	counters_format(&node->counters, out);
+	g_string_append_printf(out, "in_flight_calls %zu\n",
+			       caller_table_in_flight(node->callers));
+	g_string_append_printf(out, "slots_in_use %u\n",
+			       backend_server_in_use(node->backend));
+	g_string_append_printf(out, "calls_queued %u\n",
+			       backend_server_queued(node->backend));
+	g_string_append_printf(out, "hosts_up %zu\n",
+			       membership_up_count(node->membership));
+	http_exchange_reply_text(exchange, 200, "text/plain", out->str);
+	g_string_free(out, TRUE);
+}
+
+static json_t *host_to_json(const struct node *node, const struct host *host)
+{
+	char address[ADDRESS_TEXT_BYTES];
+	uint64_t now_ms = node_now_ms(node);
+
+	address_format(address_from_key(host->address), address);
+	return json_pack("{s:s, s:s, s:s, s:s, s:b, s:i, s:i, s:i, s:I, s:b}",
+			 "address", address, "failure_domain",
+			 host->failure_domain, "service", host->service,
+			 "state", host_state_name(host->state), "serving",
+			 host->serving, "slots", (int)host->slots,
+			 "operator_port", host->operator_port, "caller_port",
+			 host->caller_port, "version",
+			 (json_int_t)host->version, "ejected",
+			 router_is_ejected(caller_table_router(node->callers),
+					   host->address, now_ms));
+}
+
+static json_t *rejection_to_json(const struct node *node)
+{
+	const struct diagnostic *why;
+	uint64_t version =
+		distribution_rejected_version(node->distribution, &why);
+
+	if (!version)
+		return json_null();
+	return json_pack("{s:I, s:i, s:i, s:s, s:s}", "version",
+			 (json_int_t)version, "line", (int)why->line, "column",
+			 (int)why->column, "what", why->what, "remedy",
+			 why->remedy);
+}
+
+static json_t *own_status(const struct node *node)
+{
+	const struct distribution *d = node->distribution;
+	char address[ADDRESS_TEXT_BYTES];
+	const char *why = "";
+	int ready = node_is_ready(node, &why);
+
+	address_format(node->peer_address, address);
+	return json_pack(
+		"{s:s, s:s, s:s, s:I, s:I, s:b, s:s, s:b, s:I, s:b, s:b, s:b, "
+		"s:o, s:I, s:I}",
+		"address", address, "failure_domain",
+		node->settings.failure_domain, "service",
+		backend_server_service(node->backend), "version",
+		(json_int_t)distribution_version(d), "floor",
+		(json_int_t)distribution_floor(d), "ready", ready, "reason",
+		why, "relay", distribution_is_relay(d), "rank",
+		(json_int_t)distribution_rank(d), "cut_off", node->cut_off,
+		"store_up", bootstrap_store_is_up(node->bootstrap), "draining",
+		node_is_draining(node), "rejected", rejection_to_json(node),
+		"hosts_up", (json_int_t)membership_up_count(node->membership),
+		"routes",
+		(json_int_t)(node->snapshot ? snapshot_effective_route_count(
+						      node->snapshot) :
+					      0));
+}
+
+static void reply_status(struct node *node, struct http_exchange *exchange)
+{
+	json_t *status = own_status(node);
+	json_t *hosts = json_array();
+
+	for (size_t i = 0; i < membership_count(node->membership); i++)
+		json_array_append_new(
+			hosts,
+			host_to_json(node,
+				     membership_host(node->membership, i)));
+	json_object_set_new(status, "hosts", hosts);
+	reply_json(exchange, 200, status);
+}
+
+static json_t *explain_route(const struct node *node,
+			     const struct route_rule *rule,
+			     enum route_lookup found, struct route_handle route)
+{
+	json_t *hosts = json_array();
+	struct service_handle service;
+
+	if (found == ROUTE_FOUND) {
+		service = snapshot_route_service(node->snapshot, route);
+		for (size_t i = 0;
+		     i < snapshot_service_host_count(node->snapshot, service);
+		     i++) {
+			const struct snapshot_host *host =
+				snapshot_service_host(node->snapshot, service,
+						      i);
+			const struct host *known =
+				membership_find(node->membership, host->host);
+
+			if (known)
+				json_array_append_new(
+					hosts, host_to_json(node, known));
+		}
+	}
+	return json_pack(
+		"{s:s, s:I, s:i, s:s, s:s, s:s, s:s, s:s, s:b, s:i, "
+		"s:i, s:o}",
+		"result", found == ROUTE_FOUND ? "routed" : "withdrawn",
+		"version", (json_int_t)snapshot_version(node->snapshot), "line",
+		(int)rule->line, "method", rule->method, "host", rule->host,
+		"prefix", rule->prefix, "service", rule->service, "class",
+		call_class_name(rule->contract.call_class), "idempotent",
+		rule->contract.idempotent, "deadline_ms",
+		(int)rule->contract.deadline_ms, "retries",
+		(int)rule->contract.retries, "hosts", hosts);
+}
+
+static void reply_explain(struct node *node, struct http_exchange *exchange)
+{
+	char *method = http_exchange_query(exchange, "method");
+	char *host = http_exchange_query(exchange, "host");
+	char *path = http_exchange_query(exchange, "path");
+	const struct route_rule *rule;
+	struct route_handle route;
+	enum route_lookup found;
+	const char *m = method ? method : "GET", *h = host ? host : "";
+	const char *p = path ? path : "/";
+
+	if (!node->snapshot) {
+		reply_json(exchange, 503,
+			   json_pack("{s:s}", "result",
+				     "no configuration is in force yet"));
+	} else {
+		found = snapshot_find_route(node->snapshot, m, strlen(m), h,
+					    strlen(h), p, strlen(p), &route,
+					    &rule);
+		reply_json(exchange, 200,
+			   rule ? explain_route(node, rule, found, route) :
+				  json_pack("{s:s, s:s}", "result", "no route",
+					    "remedy",
+					    "add a route line for the path"));
+	}
+	g_free(method);
+	g_free(host);
+	g_free(path);
+}
+
+static void reply_config(struct node *node, struct http_exchange *exchange)
+{
+	size_t size = 0;
+	const char *text =
+		node->snapshot ? snapshot_text(node->snapshot, &size) : "";
+	struct http_header header = {"content-type", "text/plain"};
+
+	http_exchange_reply(exchange, node->snapshot ? 200 : 503, &header, 1,
+			    text, size);
+}
+
+static int method_is(const struct http_exchange *exchange, const char *method)
+{
+	struct http_text text = http_exchange_method(exchange);
+
+	return text.size == strlen(method) &&
+	       !memcmp(text.bytes, method, text.size);
+}
+
+void operator_request(void *data, struct http_exchange *exchange)
+{
+	struct node *node = data;
+
+	if (method_is(exchange, "POST") &&
+	    http_exchange_path_is(exchange, "/backend"))
+		backend_server_announce(node->backend, exchange);
+	else if (method_is(exchange, "POST") &&
+		 http_exchange_path_is(exchange, "/backend/leave"))
+		backend_server_leave(node->backend, exchange);
+	else if (http_exchange_path_is(exchange, "/counters"))
+		reply_counters(node, exchange);
+	else if (http_exchange_path_is(exchange, "/status"))
+		reply_status(node, exchange);
+	else if (http_exchange_path_is(exchange, "/explain"))
+		reply_explain(node, exchange);
+	else if (http_exchange_path_is(exchange, "/config"))
+		reply_config(node, exchange);
+	else
+		http_exchange_reply_text(exchange, 404, "text/plain",
+					 "use /status, /counters, /explain, "
+					 "/config or POST /backend\n");
+}
--- /dev/null
+++ b/src/program.c
@@ -0,0 +1,36 @@
+#include "program.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+void program_usage_error(const char *program, const char *message)
+{
+	fprintf(stderr, "%s: %s; see --help\n", program, message);
+	exit(EXIT_USAGE);
+}
+
+void program_parse(int *argc, char ***argv, const GOptionEntry *entries,
+		   const char *usage, const char *summary)
+{
+	gboolean version = FALSE;
+	const GOptionEntry version_entry[] = {
+		{"version", 0, 0, G_OPTION_ARG_NONE, &version,
+		 "Print the version and exit", NULL},
+		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	};
+	GOptionContext *context = g_option_context_new(usage);
+	GError *error = NULL;
+	gboolean good;
+
+	g_option_context_set_summary(context, summary);
+	g_option_context_add_main_entries(context, entries, NULL);
+	g_option_context_add_main_entries(context, version_entry, NULL);
+	good = g_option_context_parse(context, argc, argv, &error);
+	g_option_context_free(context);
+	if (!good)
+		program_usage_error((*argv)[0], error->message);
+	if (version) {
+		printf("fescuehitch " FESCUE_VERSION "\n");
+		exit(EXIT_GOOD);
+	}
+}
--- /dev/null
+++ b/src/router.c
@@ -0,0 +1,327 @@
+#include "fescue/router.h"
+
+#include "fescue/error.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+
+#define LATENCY_WEIGHT 0.2
+#define LATENCY_INITIAL_US 1000.0
+#define SLOW_START_FLOOR 0.1
+#define EJECTED_SHARE_MAX 2 /* at most one in this many */
+#define EJECTION_DOUBLINGS_MAX 5
+
+const struct router_settings router_defaults = {
+	.policy = ROUTER_TWO_CHOICES,
+	.slow_start_ms = 5000,
+	.load_half_life_ms = 500,
+	.failures_to_eject = 3,
+	.ejection_ms = 1000,
+	.ejection_max_ms = 30000,
+};
+
+/* What own calls have shown of one host. */
+struct host_evidence {
+	uint64_t address;
+	uint32_t outstanding;
+	struct router_load load;
+	uint64_t load_at_ms;
+	double latency_us;
+	uint32_t failures;
+	uint32_t ejections;
+	uint64_t ejected_until_ms;
+	uint64_t first_seen_ms;
+	uint64_t last_used_ms;
+};
+
+struct router {
+	struct router_settings settings;
+	GRand *random;
+	GHashTable *evidence; /* address -> struct host_evidence */
+	int warm; /* the first hosts seen at start-up do not start slowly */
+};
+
+struct candidate {
+	const struct snapshot_host *host;
+	struct host_evidence *evidence;
+};
+
+struct router *router_create(const struct router_settings *settings,
+			     uint32_t seed)
+{
+	struct router *r = g_new0(struct router, 1);
+
+	r->settings = *settings;
+	r->random = g_rand_new_with_seed(seed);
+	r->evidence = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					    g_free);
+	return r;
+}
+
+void router_destroy(struct router *r)
+{
+	if (!r)
+		return;
+	g_hash_table_destroy(r->evidence);
+	g_rand_free(r->random);
+	g_free(r);
+}
+
+static struct host_evidence *find_evidence(const struct router *r,
+					   uint64_t address)
+{
+	return g_hash_table_lookup(r->evidence, &address);
+}
+
+static struct host_evidence *get_evidence(struct router *r, uint64_t address,
+					  uint64_t now_ms)
+{
+	struct host_evidence *e = find_evidence(r, address);
+
+	if (e)
+		return e;
+	e = g_new0(struct host_evidence, 1);
+	e->address = address;
+	e->latency_us = LATENCY_INITIAL_US;
+	e->last_used_ms = now_ms;
+	e->first_seen_ms = r->warm ? now_ms : 0;
+	g_hash_table_insert(r->evidence, &e->address, e);
+	return e;
+}
+
+/* Reported load, halved for each half-life since it was reported. */
+static double aged_load(const struct router *r, const struct host_evidence *e,
+			uint64_t now_ms)
+{
+	double age = (double)(now_ms - e->load_at_ms);
+	double factor = exp2(-age / r->settings.load_half_life_ms);
+
+	return (e->load.in_use + e->load.queued) * factor;
+}
+
+static double slow_start_share(const struct router *r,
+			       const struct host_evidence *e, uint64_t now_ms)
+{
+	uint64_t age = now_ms - e->first_seen_ms;
+	double share;
+
+	if (!e->first_seen_ms || age >= r->settings.slow_start_ms)
+		return 1.0;
+	share = (double)age / r->settings.slow_start_ms;
+	return MAX(share, SLOW_START_FLOOR);
+}
+
+static double candidate_cost(const struct router *r, const struct candidate *c,
+			     uint64_t now_ms)
+{
+	double slots = MAX(c->host->slots, 1);
+	double load = MAX((double)c->evidence->outstanding,
+			  aged_load(r, c->evidence, now_ms));
+
+	return (load + 1) * c->evidence->latency_us /
+	       (slots * slow_start_share(r, c->evidence, now_ms));
+}
+
+static int has_room(const struct router *r, const struct candidate *c,
+		    uint64_t now_ms)
+{
+	double share = slow_start_share(r, c->evidence, now_ms);
+	double room = c->host->slots * share;
+
+	return c->evidence->outstanding < room &&
+	       aged_load(r, c->evidence, now_ms) < room;
+}
+
+static int is_excluded(uint64_t address, const uint64_t *excluded, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		if (excluded[i] == address)
+			return 1;
+	return 0;
+}
+
+static size_t count_ejected(struct router *r, const struct snapshot *snapshot,
+			    struct service_handle service, uint64_t now_ms)
+{
+	size_t n = snapshot_service_host_count(snapshot, service);
+	size_t ejected = 0;
+
+	for (size_t i = 0; i < n; i++)
+		ejected += (size_t)router_is_ejected(
+			r, snapshot_service_host(snapshot, service, i)->host,
+			now_ms);
+	return ejected;
+}
+
+/* Hosts that may get the call; ejected ones only when too many are. */
+static GArray *find_candidates(struct router *r,
+			       const struct snapshot *snapshot,
+			       struct service_handle service,
+			       const uint64_t *excluded, size_t excluded_count,
+			       uint64_t now_ms)
+{
+	size_t n = snapshot_service_host_count(snapshot, service);
+	size_t ejected = count_ejected(r, snapshot, service, now_ms);
+	int honour = ejected * EJECTED_SHARE_MAX <= n;
+	GArray *candidates = g_array_sized_new(
+		FALSE, FALSE, sizeof(struct candidate), (guint)n);
+
+	for (size_t i = 0; i < n; i++) {
+		struct candidate c;
+
+		c.host = snapshot_service_host(snapshot, service, i);
+		if (is_excluded(c.host->host, excluded, excluded_count))
+			continue;
+		if (honour && router_is_ejected(r, c.host->host, now_ms))
+			continue;
+		c.evidence = get_evidence(r, c.host->host, now_ms);
+		g_array_append_val(candidates, c);
+	}
+	r->warm = 1;
+	return candidates;
+}
+
+/* Keep only hosts of the own domain with room, when there are any. */
+static void prefer_own_domain(struct router *r, GArray *candidates,
+			      const char *own_domain, uint64_t now_ms)
+{
+	guint kept = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		struct candidate *c =
+			&g_array_index(candidates, struct candidate, i);
+		struct candidate swap;
+
+		if (strcmp(c->host->failure_domain, own_domain) ||
+		    !has_room(r, c, now_ms))
+			continue;
+		swap = g_array_index(candidates, struct candidate, kept);
+		g_array_index(candidates, struct candidate, kept) = *c;
+		*c = swap;
+		kept++;
+	}
+	if (kept)
+		g_array_set_size(candidates, kept);
+}
+
+static const struct candidate *random_candidate(struct router *r,
+						const GArray *candidates)
+{
+	gint i = g_rand_int_range(r->random, 0, (gint)candidates->len);
+
+	return &g_array_index(candidates, struct candidate, i);
+}
+
+int router_choose(struct router *r, const struct snapshot *snapshot,
+		  struct service_handle service, const char *own_domain,
+		  const uint64_t *excluded, size_t excluded_count,
+		  uint64_t now_ms, uint64_t *host)
+{
+	GArray *candidates = find_candidates(r, snapshot, service, excluded,
+					     excluded_count, now_ms);
+	const struct candidate *a, *b;
+
+	if (!candidates->len) {
+		g_array_free(candidates, TRUE);
+		return FESCUE_ENOTFOUND;
+	}
+	if (r->settings.policy == ROUTER_TWO_CHOICES)
+		prefer_own_domain(r, candidates, own_domain, now_ms);
+	a = random_candidate(r, candidates);
+	b = random_candidate(r, candidates);
+	if (r->settings.policy == ROUTER_TWO_CHOICES &&
+	    candidate_cost(r, b, now_ms) < candidate_cost(r, a, now_ms))
+		a = b;
+	*host = a->host->host;
+	g_array_free(candidates, TRUE);
+	return FESCUE_OK;
+}
+
+void router_started(struct router *r, uint64_t host, uint64_t now_ms)
+{
+	struct host_evidence *e = get_evidence(r, host, now_ms);
+
+	e->outstanding++;
+	e->last_used_ms = now_ms;
+}
+
+static void record_failure(struct router *r, struct host_evidence *e,
+			   uint64_t now_ms)
+{
+	uint64_t ms;
+
+	if (++e->failures < r->settings.failures_to_eject)
+		return;
+	ms = (uint64_t)r->settings.ejection_ms
+	     << MIN(e->ejections, EJECTION_DOUBLINGS_MAX);
+	e->ejected_until_ms = now_ms + MIN(ms, r->settings.ejection_max_ms);
+	e->ejections++;
+	e->failures = 0;
+}
+
+void router_finished(struct router *r, uint64_t host, enum router_result result,
+		     uint64_t latency_us, const struct router_load *load,
+		     uint64_t now_ms)
+{
+	struct host_evidence *e = get_evidence(r, host, now_ms);
+
+	assert(e->outstanding > 0);
+	e->outstanding--;
+	e->last_used_ms = now_ms;
+	if (load) {
+		e->load = *load;
+		e->load_at_ms = now_ms;
+	}
+	switch (result) {
+	case ROUTER_ANSWERED:
+		e->failures = 0;
+		e->ejections = 0;
+		e->latency_us +=
+			LATENCY_WEIGHT * ((double)latency_us - e->latency_us);
+		break;
+	case ROUTER_FAILED:
+		record_failure(r, e, now_ms);
+		break;
+	case ROUTER_REFUSED:
+	case ROUTER_CANCELED:
+		break;
+	}
+}
+
+uint32_t router_outstanding(const struct router *r, uint64_t host)
+{
+	const struct host_evidence *e = find_evidence(r, host);
+
+	return e ? e->outstanding : 0;
+}
+
+int router_is_ejected(const struct router *r, uint64_t host, uint64_t now_ms)
+{
+	const struct host_evidence *e = find_evidence(r, host);
+
+	return e && now_ms < e->ejected_until_ms;
+}
+
+struct expiry {
+	uint64_t now_ms;
+	uint64_t idle_ms;
+};
+
+static gboolean evidence_is_old(gpointer key, gpointer value, gpointer data)
+{
+	const struct host_evidence *e = value;
+	const struct expiry *expiry = data;
+
+	(void)key;
+	return !e->outstanding &&
+	       expiry->now_ms > e->last_used_ms + expiry->idle_ms;
+}
+
+void router_expire(struct router *r, uint64_t now_ms, uint64_t idle_ms)
+{
+	struct expiry expiry = {now_ms, idle_ms};
+
+	g_hash_table_foreach_remove(r->evidence, evidence_is_old, &expiry);
+}
--- /dev/null
+++ b/src/snapshot.c
@@ -0,0 +1,313 @@
+#include "fescue/snapshot.h"
+
+#include "fescue/error.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NO_ROUTE UINT32_MAX
+
+/* The parsed version, shared by all snapshots compiled from it. */
+struct compiled_rules {
+	int refs;
+	uint64_t version;
+	uint64_t hash;
+	char *text;
+	size_t size;
+	struct rules *rules;
+};
+
+struct effective_route {
+	uint32_t rule;
+	uint32_t service;
+};
+
+struct service_entry {
+	const struct service_rule *rule;
+	uint32_t first_host;
+	uint32_t host_count;
+};
+
+struct snapshot {
+	int refs;
+	struct compiled_rules *compiled;
+	GArray *hosts;		 /* struct snapshot_host, grouped by service */
+	GArray *services;	 /* struct service_entry */
+	GArray *routes;		 /* struct effective_route */
+	uint32_t *route_of_rule; /* NO_ROUTE when withdrawn */
+	GStringChunk *strings;
+};
+
+uint64_t config_hash(const char *text, size_t size)
+{
+	return XXH64(text, size, 0);
+}
+
+static void compiled_unref(struct compiled_rules *compiled)
+{
+	if (!compiled || --compiled->refs)
+		return;
+	rules_destroy(compiled->rules);
+	g_free(compiled->text);
+	g_free(compiled);
+}
+
+static int host_serves(const struct snapshot_host *host, const char *service)
+{
+	return !strcmp(host->service, service);
+}
+
+static void add_service(struct snapshot *s, const struct service_rule *rule,
+			const struct snapshot_host *hosts, size_t host_count)
+{
+	struct service_entry entry = {rule, s->hosts->len, 0};
+
+	for (size_t i = 0; i < host_count; i++) {
+		struct snapshot_host copy = hosts[i];
+
+		if (!host_serves(&hosts[i], rule->name))
+			continue;
+		copy.service = rule->name;
+		copy.failure_domain = g_string_chunk_insert_const(
+			s->strings, hosts[i].failure_domain);
+		g_array_append_val(s->hosts, copy);
+		entry.host_count++;
+	}
+	if (entry.host_count)
+		g_array_append_val(s->services, entry);
+}
+
+static uint32_t find_service(const struct snapshot *s, const char *name)
+{
+	for (uint32_t i = 0; i < s->services->len; i++) {
+		const struct service_entry *entry =
+			&g_array_index(s->services, struct service_entry, i);
+
+		if (!strcmp(entry->rule->name, name))
+			return i;
+	}
+	return NO_ROUTE;
+}
+
+static void add_routes(struct snapshot *s)
+{
+	struct rules *rules = s->compiled->rules;
+	size_t n = rules_route_count(rules);
+
+	s->route_of_rule = g_new(uint32_t, n + 1);
+	for (uint32_t i = 0; i < n; i++) {
+		struct effective_route route = {
+			i, find_service(s, rules_route(rules, i)->service)};
+
+		s->route_of_rule[i] = NO_ROUTE;
+		if (route.service == NO_ROUTE)
+			continue;
+		s->route_of_rule[i] = s->routes->len;
+		g_array_append_val(s->routes, route);
+	}
+}
+
+/* Build services first and routes last, all aside of what is in force. */
+static struct snapshot *snapshot_build(struct compiled_rules *compiled,
+				       const struct snapshot_host *hosts,
+				       size_t host_count)
+{
+	struct snapshot *s = g_new0(struct snapshot, 1);
+	size_t n = rules_service_count(compiled->rules);
+
+	compiled->refs++;
+	s->refs = 1;
+	s->compiled = compiled;
+	s->strings = g_string_chunk_new(256);
+	s->hosts = g_array_new(FALSE, FALSE, sizeof(struct snapshot_host));
+	s->services = g_array_new(FALSE, FALSE, sizeof(struct service_entry));
+	s->routes = g_array_new(FALSE, FALSE, sizeof(struct effective_route));
+	for (size_t i = 0; i < n; i++)
+		add_service(s, rules_service(compiled->rules, i), hosts,
+			    host_count);
+	add_routes(s);
+	snapshot_assert_valid(s);
+	return s;
+}
+
+int snapshot_create(uint64_t version, const char *text, size_t size,
+		    const struct snapshot_host *hosts, size_t host_count,
+		    struct snapshot **out, struct diagnostic *diagnostics,
+		    size_t max, size_t *count)
+{
+	struct compiled_rules *compiled;
+	struct rules *rules;
+	int error = rules_parse(text, size, &rules, diagnostics, max, count);
+
+	*out = NULL;
+	if (error)
+		return error;
+	compiled = g_new0(struct compiled_rules, 1);
+	compiled->refs = 1;
+	compiled->version = version;
+	compiled->hash = config_hash(text, size);
+	compiled->text = g_memdup2(text, size);
+	compiled->size = size;
+	compiled->rules = rules;
+	*out = snapshot_build(compiled, hosts, host_count);
+	compiled_unref(compiled);
+	return FESCUE_OK;
+}
+
+struct snapshot *snapshot_with_hosts(struct snapshot *snapshot,
+				     const struct snapshot_host *hosts,
+				     size_t host_count)
+{
+	return snapshot_build(snapshot->compiled, hosts, host_count);
+}
+
+struct snapshot *snapshot_ref(struct snapshot *snapshot)
+{
+	snapshot->refs++;
+	return snapshot;
+}
+
+void snapshot_unref(struct snapshot *snapshot)
+{
+	if (!snapshot || --snapshot->refs)
+		return;
+	g_array_free(snapshot->hosts, TRUE);
+	g_array_free(snapshot->services, TRUE);
+	g_array_free(snapshot->routes, TRUE);
+	g_free(snapshot->route_of_rule);
+	g_string_chunk_free(snapshot->strings);
+	compiled_unref(snapshot->compiled);
+	g_free(snapshot);
+}
+
+uint64_t snapshot_version(const struct snapshot *snapshot)
+{
+	return snapshot->compiled->version;
+}
+
+const char *snapshot_text(const struct snapshot *snapshot, size_t *size)
+{
+	*size = snapshot->compiled->size;
+	return snapshot->compiled->text ? snapshot->compiled->text : "";
+}
+
+uint64_t snapshot_hash(const struct snapshot *snapshot)
+{
+	return snapshot->compiled->hash;
+}
+
+enum route_lookup snapshot_find_route(const struct snapshot *snapshot,
+				      const char *method, size_t method_len,
+				      const char *host, size_t host_len,
+				      const char *path, size_t path_len,
+				      struct route_handle *out,
+				      const struct route_rule **rule)
+{
+	struct rules *rules = snapshot->compiled->rules;
+	size_t n = rules_route_count(rules);
+
+	for (size_t i = 0; i < n; i++) {
+		*rule = rules_route(rules, i);
+		if (!route_rule_matches(*rule, method, method_len, host,
+					host_len, path, path_len))
+			continue;
+		out->index = snapshot->route_of_rule[i];
+		return out->index == NO_ROUTE ? ROUTE_WITHDRAWN : ROUTE_FOUND;
+	}
+	*rule = NULL;
+	return ROUTE_UNKNOWN;
+}
+
+static const struct effective_route *
+effective_route(const struct snapshot *snapshot, struct route_handle route)
+{
+	assert(route.index < snapshot->routes->len);
+	return &g_array_index(snapshot->routes, struct effective_route,
+			      route.index);
+}
+
+static const struct service_entry *
+service_entry(const struct snapshot *snapshot, struct service_handle service)
+{
+	assert(service.index < snapshot->services->len);
+	return &g_array_index(snapshot->services, struct service_entry,
+			      service.index);
+}
+
+const struct route_rule *snapshot_route(const struct snapshot *snapshot,
+					struct route_handle route)
+{
+	return rules_route(snapshot->compiled->rules,
+			   effective_route(snapshot, route)->rule);
+}
+
+struct service_handle snapshot_route_service(const struct snapshot *snapshot,
+					     struct route_handle route)
+{
+	struct service_handle service = {
+		effective_route(snapshot, route)->service};
+
+	return service;
+}
+
+const struct service_rule *snapshot_service(const struct snapshot *snapshot,
+					    struct service_handle service)
+{
+	return service_entry(snapshot, service)->rule;
+}
+
+size_t snapshot_service_host_count(const struct snapshot *snapshot,
+				   struct service_handle service)
+{
+	return service_entry(snapshot, service)->host_count;
+}
+
+const struct snapshot_host *
+snapshot_service_host(const struct snapshot *snapshot,
+		      struct service_handle service, size_t i)
+{
+	const struct service_entry *entry = service_entry(snapshot, service);
+
+	assert(i < entry->host_count);
+	return &g_array_index(snapshot->hosts, struct snapshot_host,
+			      entry->first_host + i);
+}
+
+size_t snapshot_effective_route_count(const struct snapshot *snapshot)
+{
+	return snapshot->routes->len;
+}
+
+size_t snapshot_withdrawn_route_count(const struct snapshot *snapshot)
+{
+	return rules_route_count(snapshot->compiled->rules) -
+	       snapshot->routes->len;
+}
+
+void snapshot_assert_valid(const struct snapshot *snapshot)
+{
+	struct rules *rules = snapshot->compiled->rules;
+
+	for (uint32_t i = 0; i < snapshot->services->len; i++) {
+		const struct service_entry *entry = &g_array_index(
+			snapshot->services, struct service_entry, i);
+
+		assert(entry->host_count > 0);
+		assert(entry->first_host + entry->host_count <=
+		       snapshot->hosts->len);
+	}
+	for (uint32_t i = 0; i < snapshot->routes->len; i++) {
+		const struct effective_route *route = &g_array_index(
+			snapshot->routes, struct effective_route, i);
+
+		assert(route->rule < rules_route_count(rules));
+		assert(route->service < snapshot->services->len);
+		assert(!strcmp(rules_route(rules, route->rule)->service,
+			       g_array_index(snapshot->services,
+					     struct service_entry,
+					     route->service)
+				       .rule->name));
+	}
+}
--- /dev/null
+++ b/src/transport.c
@@ -0,0 +1,460 @@
+#include "transport.h"
+
+#include "fescue/error.h"
+#include "log.h"
+
+#include <string.h>
+
+#define LISTEN_BACKLOG 512
+#define FRAME_HEADER_BYTES 4
+#define READ_BUFFER_BYTES 65536
+#define DATAGRAM_OVERHEAD_BYTES 28
+#define CONNECT_TIMEOUT_MS 1000
+
+enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSING };
+
+/* One TCP connection with a peer, in either direction. */
+struct link {
+	struct transport *transport;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uint64_t peer; /* 0 until an accepted peer says hello */
+	enum link_state state;
+	uint64_t used_ms;
+	GByteArray *input;
+	GQueue waiting; /* GByteArray, frames until connected */
+};
+
+struct transport {
+	uv_loop_t *loop;
+	struct address own;
+	struct transport_events events;
+	struct counters *counters;
+	uv_udp_t udp;
+	uv_tcp_t listener;
+	GHashTable *links; /* peer -> struct link to send on */
+	GPtrArray *all;	   /* every link that is not closed */
+	char buffer[READ_BUFFER_BYTES];
+	int stopped;
+};
+
+struct write {
+	uv_write_t req;
+	GByteArray *frame;
+};
+
+struct datagram {
+	uv_udp_send_t req;
+	GByteArray *bytes;
+};
+
+static enum packet_purpose purpose_of(const Fescue__Packet *packet)
+{
+	switch (packet->body_case) {
+	case FESCUE__PACKET__BODY_PING:
+	case FESCUE__PACKET__BODY_ACK:
+	case FESCUE__PACKET__BODY_PING_REQUEST:
+		return PACKET_MEMBERSHIP;
+	case FESCUE__PACKET__BODY_SYNC_REQUEST:
+	case FESCUE__PACKET__BODY_SYNC_REPLY:
+	case FESCUE__PACKET__BODY_CONFIG_FETCH:
+		return PACKET_REPAIR;
+	case FESCUE__PACKET__BODY_CONFIG_PUSH:
+	case FESCUE__PACKET__BODY_CONFIG_ACK:
+		return PACKET_CONFIG;
+	default:
+		return PACKET_CALL;
+	}
+}
+
+static GByteArray *encode(const Fescue__Packet *packet, size_t header)
+{
+	size_t size = fescue__packet__get_packed_size(packet);
+	GByteArray *bytes = g_byte_array_sized_new((guint)(size + header));
+
+	g_byte_array_set_size(bytes, (guint)(size + header));
+	fescue__packet__pack(packet, bytes->data + header);
+	if (header) {
+		bytes->data[0] = (guint8)(size >> 24);
+		bytes->data[1] = (guint8)(size >> 16);
+		bytes->data[2] = (guint8)(size >> 8);
+		bytes->data[3] = (guint8)size;
+	}
+	return bytes;
+}
+
+/* Decode and hand on one packet; returns 0 or FESCUE_EINVAL. */
+static int deliver(struct transport *t, uint64_t from, const uint8_t *bytes,
+		   size_t size, size_t overhead)
+{
+	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
+
+	if (!packet || packet->body_case == FESCUE__PACKET__BODY__NOT_SET) {
+		t->counters->values[COUNTER_packets_malformed]++;
+		packet_destroy(packet);
+		return FESCUE_EINVAL;
+	}
+	t->counters->bytes_received[purpose_of(packet)] += size + overhead;
+	t->events.received(t->events.data, from, packet);
+	packet_destroy(packet);
+	return FESCUE_OK;
+}
+
+static void link_free(uv_handle_t *handle)
+{
+	struct link *link = handle->data;
+
+	g_byte_array_free(link->input, TRUE);
+	g_queue_clear_full(&link->waiting, (GDestroyNotify)g_byte_array_unref);
+	g_free(link);
+}
+
+static void link_close(struct link *link)
+{
+	struct transport *t = link->transport;
+	int connected = link->state == LINK_OPEN;
+
+	if (link->state == LINK_CLOSING)
+		return;
+	link->state = LINK_CLOSING;
+	g_ptr_array_remove_fast(t->all, link);
+	if (g_hash_table_lookup(t->links, &link->peer) == link)
+		g_hash_table_remove(t->links, &link->peer);
+	uv_close((uv_handle_t *)&link->tcp, link_free);
+	if (!connected)
+		t->counters->values[COUNTER_links_failed]++;
+	if (link->peer && !t->stopped)
+		t->events.link_closed(t->events.data, link->peer, connected);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct write *write = req->data;
+
+	g_byte_array_unref(write->frame);
+	if (status && status != UV_ECANCELED)
+		link_close(req->handle->data);
+	g_free(write);
+}
+
+static void link_write(struct link *link, GByteArray *frame)
+{
+	struct write *write = g_new0(struct write, 1);
+	uv_buf_t buf = uv_buf_init((char *)frame->data, frame->len);
+
+	write->frame = frame;
+	write->req.data = write;
+	uv_write(&write->req, (uv_stream_t *)&link->tcp, &buf, 1, on_written);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct link *link = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(link->transport->buffer, READ_BUFFER_BYTES);
+}
+
+static size_t frame_size(const uint8_t *header)
+{
+	return (size_t)header[0] << 24 | (size_t)header[1] << 16 |
+	       (size_t)header[2] << 8 | header[3];
+}
+
+static void receive_hello(struct link *link, const uint8_t *bytes, size_t size)
+{
+	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
+	GHashTable *links = link->transport->links;
+
+	if (packet && packet->body_case == FESCUE__PACKET__BODY_HELLO)
+		link->peer = packet->hello->address;
+	packet_destroy(packet);
+	/* Answers go back the way the requests came. */
+	if (link->peer && !g_hash_table_contains(links, &link->peer))
+		g_hash_table_insert(links, &link->peer, link);
+}
+
+/* Take one frame; returns the bytes used, 0 when it is not whole yet. */
+static size_t take_frame(struct link *link, const uint8_t *bytes, size_t size)
+{
+	size_t body;
+
+	if (size < FRAME_HEADER_BYTES)
+		return 0;
+	body = frame_size(bytes);
+	if (body > TRANSPORT_MAX_FRAME_BYTES) {
+		link_close(link);
+		return 0;
+	}
+	if (size < FRAME_HEADER_BYTES + body)
+		return 0;
+	bytes += FRAME_HEADER_BYTES;
+	if (!link->peer) {
+		receive_hello(link, bytes, body);
+		if (!link->peer)
+			link_close(link);
+	} else if (deliver(link->transport, link->peer, bytes, body,
+			   FRAME_HEADER_BYTES)) {
+		link_close(link);
+	}
+	return FRAME_HEADER_BYTES + body;
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct link *link = stream->data;
+	size_t used = 0, step;
+
+	if (n < 0) {
+		link_close(link);
+		return;
+	}
+	link->used_ms = uv_now(link->transport->loop);
+	g_byte_array_append(link->input, (guint8 *)buf->base, (guint)n);
+	while (link->state == LINK_OPEN &&
+	       (step = take_frame(link, link->input->data + used,
+				  link->input->len - used)))
+		used += step;
+	if (link->state == LINK_OPEN && used)
+		g_byte_array_remove_range(link->input, 0, (guint)used);
+}
+
+static struct link *link_create(struct transport *t)
+{
+	struct link *link = g_new0(struct link, 1);
+
+	link->transport = t;
+	link->used_ms = uv_now(t->loop);
+	link->input = g_byte_array_new();
+	g_queue_init(&link->waiting);
+	uv_tcp_init(t->loop, &link->tcp);
+	link->tcp.data = link;
+	g_ptr_array_add(t->all, link);
+	return link;
+}
+
+static void link_start(struct link *link)
+{
+	link->state = LINK_OPEN;
+	uv_tcp_nodelay(&link->tcp, 1);
+	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
+	link->transport->counters->values[COUNTER_links_opened]++;
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct transport *t = listener->data;
+	struct link *link;
+
+	if (status)
+		return;
+	link = link_create(t);
+	if (uv_accept(listener, (uv_stream_t *)&link->tcp))
+		link_close(link);
+	else
+		link_start(link);
+}
+
+static GByteArray *create_hello(const struct transport *t)
+{
+	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_HELLO);
+	GByteArray *frame;
+
+	packet->hello->address = address_key(t->own);
+	frame = encode(packet, FRAME_HEADER_BYTES);
+	packet_destroy(packet);
+	return frame;
+}
+
+static void on_connected(uv_connect_t *req, int status)
+{
+	struct link *link = req->data;
+	GByteArray *frame;
+
+	if (link->state == LINK_CLOSING)
+		return;
+	if (status) {
+		link_close(link);
+		return;
+	}
+	link_start(link);
+	link_write(link, create_hello(link->transport));
+	while ((frame = g_queue_pop_head(&link->waiting)))
+		link_write(link, frame);
+}
+
+static struct link *link_open(struct transport *t, uint64_t peer)
+{
+	struct sockaddr_in in = address_to_sockaddr(address_from_key(peer));
+	struct link *link = link_create(t);
+
+	link->peer = peer;
+	link->connect.data = link;
+	g_hash_table_insert(t->links, &link->peer, link);
+	if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&in,
+			   on_connected)) {
+		link_close(link);
+		return NULL;
+	}
+	return link;
+}
+
+static void send_by_link(struct transport *t, uint64_t to,
+			 enum packet_purpose purpose,
+			 const Fescue__Packet *packet)
+{
+	struct link *link = g_hash_table_lookup(t->links, &to);
+	GByteArray *frame;
+
+	if (!link)
+		link = link_open(t, to);
+	if (!link)
+		return;
+	frame = encode(packet, FRAME_HEADER_BYTES);
+	t->counters->bytes_sent[purpose] += frame->len;
+	link->used_ms = uv_now(t->loop);
+	if (link->state == LINK_OPEN)
+		link_write(link, frame);
+	else
+		g_queue_push_tail(&link->waiting, frame);
+}
+
+static void on_datagram_sent(uv_udp_send_t *req, int status)
+{
+	struct datagram *datagram = req->data;
+
+	(void)status;
+	g_byte_array_unref(datagram->bytes);
+	g_free(datagram);
+}
+
+static void send_by_datagram(struct transport *t, uint64_t to,
+			     enum packet_purpose purpose,
+			     const Fescue__Packet *packet)
+{
+	struct sockaddr_in in = address_to_sockaddr(address_from_key(to));
+	struct datagram *datagram = g_new0(struct datagram, 1);
+	uv_buf_t buf;
+
+	datagram->bytes = encode(packet, 0);
+	datagram->req.data = datagram;
+	buf = uv_buf_init((char *)datagram->bytes->data, datagram->bytes->len);
+	t->counters->bytes_sent[purpose] +=
+		datagram->bytes->len + DATAGRAM_OVERHEAD_BYTES;
+	if (uv_udp_send(&datagram->req, &t->udp, &buf, 1,
+			(struct sockaddr *)&in, on_datagram_sent))
+		on_datagram_sent(&datagram->req, -1);
+}
+
+void transport_send(struct transport *t, uint64_t to,
+		    enum packet_purpose purpose, const Fescue__Packet *packet)
+{
+	if (t->stopped)
+		return;
+	if (purpose != PACKET_CALL && fescue__packet__get_packed_size(packet) <=
+					      TRANSPORT_MAX_DATAGRAM_BYTES)
+		send_by_datagram(t, to, purpose, packet);
+	else
+		send_by_link(t, to, purpose, packet);
+}
+
+void transport_broadcast(struct transport *t, enum packet_purpose purpose,
+			 const Fescue__Packet *packet)
+{
+	GHashTable *peers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	GHashTableIter iter;
+	gpointer key;
+
+	for (guint i = 0; i < t->all->len; i++) {
+		struct link *link = g_ptr_array_index(t->all, i);
+
+		if (link->peer && link->state == LINK_OPEN)
+			g_hash_table_add(peers, &link->peer);
+	}
+	g_hash_table_iter_init(&iter, peers);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		transport_send(t, *(uint64_t *)key, purpose, packet);
+	g_hash_table_destroy(peers);
+}
+
+void transport_expire(struct transport *t, uint64_t idle_ms)
+{
+	uint64_t now = uv_now(t->loop);
+
+	for (guint i = t->all->len; i-- > 0;) {
+		struct link *link = g_ptr_array_index(t->all, i);
+		uint64_t limit = link->state == LINK_CONNECTING ?
+					 CONNECT_TIMEOUT_MS :
+					 idle_ms;
+
+		if (now > link->used_ms + limit)
+			link_close(link);
+	}
+}
+
+static void on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct transport *t = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(t->buffer, READ_BUFFER_BYTES);
+}
+
+static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned flags)
+{
+	struct transport *t = udp->data;
+	struct address address;
+
+	if (n <= 0 || !from || (flags & UV_UDP_PARTIAL))
+		return;
+	address = address_from_sockaddr(
+		(const struct sockaddr_in *)(const void *)from);
+	deliver(t, address_key(address), (const uint8_t *)buf->base, (size_t)n,
+		DATAGRAM_OVERHEAD_BYTES);
+}
+
+static int bind_sockets(struct transport *t)
+{
+	struct sockaddr_in in = address_to_sockaddr(t->own);
+	const struct sockaddr *sa = (struct sockaddr *)&in;
+
+	if (uv_udp_bind(&t->udp, sa, 0) ||
+	    uv_udp_recv_start(&t->udp, on_udp_alloc, on_datagram))
+		return FESCUE_EIO;
+	if (uv_tcp_bind(&t->listener, sa, 0) ||
+	    uv_listen((uv_stream_t *)&t->listener, LISTEN_BACKLOG, on_accept))
+		return FESCUE_EIO;
+	return FESCUE_OK;
+}
+
+int transport_create(uv_loop_t *loop, struct address own,
+		     const struct transport_events *events,
+		     struct counters *counters, struct transport **out)
+{
+	struct transport *t = g_new0(struct transport, 1);
+
+	t->loop = loop;
+	t->own = own;
+	t->events = *events;
+	t->counters = counters;
+	t->links = g_hash_table_new(g_int64_hash, g_int64_equal);
+	t->all = g_ptr_array_new();
+	uv_udp_init(loop, &t->udp);
+	uv_tcp_init(loop, &t->listener);
+	t->udp.data = t;
+	t->listener.data = t;
+	*out = t;
+	return bind_sockets(t);
+}
+
+void transport_stop(struct transport *t)
+{
+	if (t->stopped)
+		return;
+	t->stopped = 1;
+	while (t->all->len)
+		link_close(g_ptr_array_index(t->all, t->all->len - 1));
+	uv_close((uv_handle_t *)&t->udp, NULL);
+	uv_close((uv_handle_t *)&t->listener, NULL);
+}
--- /dev/null
+++ b/standin/store_standin.c
@@ -0,0 +1,648 @@
+/*
+ * fescue-store-standin: a small fake of the platform's key-value service
+ * with compare-and-swap, leases and watches, and faults on demand.
+ */
+#include "fescue/error.h"
+#include "http_server.h"
+#include "program.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VALUE_MAX_BYTES 1000000
+#define SWEEP_MS 100
+#define ANSWER_MS 1
+
+enum outage { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_HANG };
+
+enum call_type {
+	CALL_GET,
+	CALL_LIST,
+	CALL_PUT,
+	CALL_DELETE,
+	CALL_WATCH,
+	CALL_LEASE_GRANT,
+	CALL_LEASE_RENEW,
+	CALL_BAD,
+};
+
+struct entry {
+	char *value;
+	size_t size;
+	uint64_t revision;
+	uint64_t lease; /* 0: none */
+};
+
+struct lease {
+	uint64_t ttl_ms;
+	uint64_t expires_ms;
+};
+
+/* One call between its arrival and its answer. */
+struct call {
+	struct store *store;
+	struct http_exchange *exchange; /* NULL when the client left */
+	enum call_type type;
+	char *key;	 /* or prefix */
+	uint64_t number; /* expected revision, watch base, lease or ttl */
+	uint64_t lease;
+	uint64_t timeout_ms;
+	int revision_only;
+	char *value;
+	size_t size;
+	uv_timer_t timer;
+	int waiting; /* in the list of watches */
+};
+
+struct store {
+	uv_loop_t *loop;
+	GTree *entries;	    /* key -> struct entry */
+	GHashTable *leases; /* id -> struct lease */
+	GPtrArray *watches; /* struct call */
+	GPtrArray *hung;    /* struct call held by an outage */
+	uint64_t revision;
+	uint64_t next_lease;
+	enum outage outage;
+	uint32_t delay_ms;
+	uint32_t lose_answers; /* of the next writes */
+	uint32_t rate_cap;     /* calls a second, 0: none */
+	uint64_t second;       /* of the rates below */
+	uint64_t reads_now, writes_now;
+	uint64_t reads, writes, watch_calls, refused, lost;
+	uint64_t peak_reads, peak_writes; /* in one second */
+	uv_timer_t sweep;
+};
+
+static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
+{
+	(void)data;
+	return strcmp(a, b);
+}
+
+static void entry_free(gpointer p)
+{
+	struct entry *entry = p;
+
+	g_free(entry->value);
+	g_free(entry);
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct call *c = handle->data;
+
+	g_free(c->key);
+	g_free(c->value);
+	g_free(c);
+}
+
+static void call_end(struct call *c)
+{
+	if (c->waiting)
+		g_ptr_array_remove_fast(c->store->watches, c);
+	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
+}
+
+static void reply(struct call *c, int status, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	if (c->exchange)
+		http_exchange_reply_text(c->exchange, status,
+					 "application/json", text);
+	free(text);
+	json_decref(json);
+	call_end(c);
+}
+
+static void reply_error(struct call *c, int status, const char *error,
+			uint64_t revision)
+{
+	reply(c, status,
+	      json_pack("{s:s, s:I}", "error", error, "revision",
+			(json_int_t)revision));
+}
+
+static json_t *entry_to_json(const char *key, const struct entry *entry,
+			     int revision_only)
+{
+	json_t *json = json_pack("{s:s, s:I}", "key", key, "revision",
+				 (json_int_t)entry->revision);
+	char *value;
+
+	if (!revision_only) {
+		value = g_base64_encode((const guchar *)entry->value,
+					entry->size);
+		json_object_set_new(json, "value", json_string(value));
+		g_free(value);
+	}
+	return json;
+}
+
+static struct entry *find(struct store *s, const char *key)
+{
+	return g_tree_lookup(s->entries, key);
+}
+
+static void do_get(struct call *c)
+{
+	struct entry *entry = find(c->store, c->key);
+
+	if (entry)
+		reply(c, 200, entry_to_json(c->key, entry, c->revision_only));
+	else
+		reply_error(c, 404, "no such key", 0);
+}
+
+struct listing {
+	const char *prefix;
+	json_t *items;
+};
+
+static gboolean list_entry(gpointer key, gpointer value, gpointer data)
+{
+	struct listing *listing = data;
+
+	if (!strncmp(key, listing->prefix, strlen(listing->prefix)))
+		json_array_append_new(listing->items,
+				      entry_to_json(key, value, 0));
+	return FALSE;
+}
+
+static void do_list(struct call *c)
+{
+	struct listing listing = {c->key, json_array()};
+
+	g_tree_foreach(c->store->entries, list_entry, &listing);
+	reply(c, 200, json_pack("{s:o}", "items", listing.items));
+}
+
+static void answer_watches(struct store *s, const char *key)
+{
+	for (guint i = s->watches->len; i-- > 0;) {
+		struct call *c = g_ptr_array_index(s->watches, i);
+
+		if (!strcmp(c->key, key))
+			do_get(c);
+	}
+}
+
+/* A write whose answer is to be lost has its connection cut. */
+static void reply_write(struct call *c, uint64_t revision)
+{
+	struct store *s = c->store;
+
+	if (!s->lose_answers) {
+		reply(c, 200,
+		      json_pack("{s:I}", "revision", (json_int_t)revision));
+		return;
+	}
+	s->lose_answers--;
+	s->lost++;
+	if (c->exchange)
+		http_exchange_abort(c->exchange);
+	call_end(c);
+}
+
+static void do_put(struct call *c)
+{
+	struct store *s = c->store;
+	struct entry *entry = find(s, c->key);
+	uint64_t current = entry ? entry->revision : 0;
+	char *key;
+
+	if (current != c->number) {
+		reply_error(c, 409, "revision differs", current);
+		return;
+	}
+	if (c->lease && !g_hash_table_contains(s->leases, &c->lease)) {
+		reply_error(c, 404, "no such lease", current);
+		return;
+	}
+	entry = g_new0(struct entry, 1);
+	entry->value = g_steal_pointer(&c->value);
+	entry->size = c->size;
+	entry->lease = c->lease;
+	entry->revision = ++s->revision;
+	g_tree_replace(s->entries, g_strdup(c->key), entry);
+	key = g_strdup(c->key);
+	reply_write(c, entry->revision);
+	answer_watches(s, key);
+	g_free(key);
+}
+
+static void do_delete(struct call *c)
+{
+	struct entry *entry = find(c->store, c->key);
+	uint64_t current = entry ? entry->revision : 0;
+
+	if (current != c->number) {
+		reply_error(c, 409, "revision differs", current);
+		return;
+	}
+	g_tree_remove(c->store->entries, c->key);
+	reply_write(c, ++c->store->revision);
+}
+
+static void on_watch_timeout(uv_timer_t *timer)
+{
+	struct call *c = timer->data;
+
+	reply_error(c, 408, "no change", c->number);
+}
+
+static void do_watch(struct call *c)
+{
+	struct entry *entry = find(c->store, c->key);
+
+	if (entry && entry->revision > c->number) {
+		do_get(c);
+		return;
+	}
+	c->waiting = 1;
+	g_ptr_array_add(c->store->watches, c);
+	uv_timer_start(&c->timer, on_watch_timeout, c->timeout_ms, 0);
+}
+
+static void do_lease_grant(struct call *c)
+{
+	struct store *s = c->store;
+	struct lease *lease = g_new0(struct lease, 1);
+	uint64_t *id = g_new(uint64_t, 1);
+
+	*id = ++s->next_lease;
+	lease->ttl_ms = c->number;
+	lease->expires_ms = uv_now(s->loop) + lease->ttl_ms;
+	g_hash_table_insert(s->leases, id, lease);
+	reply(c, 200, json_pack("{s:I}", "lease", (json_int_t)*id));
+}
+
+static void do_lease_renew(struct call *c)
+{
+	struct lease *lease = g_hash_table_lookup(c->store->leases, &c->number);
+
+	if (!lease) {
+		reply_error(c, 404, "no such lease", 0);
+		return;
+	}
+	lease->expires_ms = uv_now(c->store->loop) + lease->ttl_ms;
+	reply(c, 200, json_pack("{s:I}", "lease", (json_int_t)c->number));
+}
+
+static void perform(struct call *c)
+{
+	switch (c->type) {
+	case CALL_GET:
+		do_get(c);
+		break;
+	case CALL_LIST:
+		do_list(c);
+		break;
+	case CALL_PUT:
+		do_put(c);
+		break;
+	case CALL_DELETE:
+		do_delete(c);
+		break;
+	case CALL_WATCH:
+		do_watch(c);
+		break;
+	case CALL_LEASE_GRANT:
+		do_lease_grant(c);
+		break;
+	case CALL_LEASE_RENEW:
+		do_lease_renew(c);
+		break;
+	case CALL_BAD:
+		reply_error(c, 400, "bad request", 0);
+		break;
+	}
+}
+
+static void on_delay(uv_timer_t *timer)
+{
+	perform(timer->data);
+}
+
+static void on_client_gone(void *data)
+{
+	struct call *c = data;
+
+	c->exchange = NULL;
+	if (c->waiting)
+		call_end(c);
+}
+
+static uint64_t query_number(const struct http_exchange *exchange,
+			     const char *name, uint64_t fallback)
+{
+	char *text = http_exchange_query(exchange, name);
+	uint64_t number = text ? g_ascii_strtoull(text, NULL, 10) : fallback;
+
+	g_free(text);
+	return number;
+}
+
+static char *path_after(const struct http_exchange *exchange,
+			const char *prefix)
+{
+	struct http_text path = http_exchange_path(exchange);
+	const char *query = memchr(path.bytes, '?', path.size);
+	size_t len = query ? (size_t)(query - path.bytes) : path.size;
+
+	if (len < strlen(prefix) || memcmp(path.bytes, prefix, strlen(prefix)))
+		return NULL;
+	return g_strndup(path.bytes + strlen(prefix), len - strlen(prefix));
+}
+
+static int method_is(const struct http_exchange *exchange, const char *method)
+{
+	struct http_text text = http_exchange_method(exchange);
+
+	return text.size == strlen(method) &&
+	       !memcmp(text.bytes, method, text.size);
+}
+
+static void parse_put(struct call *c)
+{
+	struct http_text body = http_exchange_body(c->exchange);
+
+	if (body.size > VALUE_MAX_BYTES) {
+		c->type = CALL_BAD;
+		return;
+	}
+	c->value = g_memdup2(body.bytes, body.size);
+	c->size = body.size;
+}
+
+static void parse_key_call(struct call *c)
+{
+	struct http_exchange *x = c->exchange;
+
+	c->number = query_number(x, "if_revision", 0);
+	c->lease = query_number(x, "lease", 0);
+	c->revision_only = (int)query_number(x, "revision_only", 0);
+	if (method_is(x, "GET")) {
+		c->type = CALL_GET;
+	} else if (method_is(x, "PUT")) {
+		c->type = CALL_PUT;
+		parse_put(c);
+	} else if (method_is(x, "DELETE")) {
+		c->type = CALL_DELETE;
+	}
+}
+
+static void parse_call(struct call *c)
+{
+	struct http_exchange *x = c->exchange;
+
+	c->type = CALL_BAD;
+	if ((c->key = path_after(x, "/v1/keys/"))) {
+		parse_key_call(c);
+	} else if (http_exchange_path_is(x, "/v1/keys")) {
+		c->type = CALL_LIST;
+		c->key = http_exchange_query(x, "prefix");
+		if (!c->key)
+			c->key = g_strdup("");
+	} else if ((c->key = path_after(x, "/v1/watch/"))) {
+		c->type = CALL_WATCH;
+		c->number = query_number(x, "after", 0);
+		c->timeout_ms = query_number(x, "timeout_ms", 30000);
+	} else if (http_exchange_path_is(x, "/v1/leases")) {
+		c->type = CALL_LEASE_GRANT;
+		c->number = query_number(x, "ttl_ms", 10000);
+	} else if ((c->key = path_after(x, "/v1/leases/"))) {
+		c->type = CALL_LEASE_RENEW;
+		c->number = g_ascii_strtoull(c->key, NULL, 10);
+	}
+}
+
+static int is_write(enum call_type type)
+{
+	return type != CALL_GET && type != CALL_LIST && type != CALL_WATCH;
+}
+
+/* Count a call; returns 0 when the rate cap refuses it. */
+static int count_call(struct store *s, enum call_type type)
+{
+	uint64_t second = uv_now(s->loop) / 1000;
+
+	if (second != s->second) {
+		s->second = second;
+		s->reads_now = 0;
+		s->writes_now = 0;
+	}
+	if (is_write(type)) {
+		s->writes++;
+		s->writes_now++;
+	} else {
+		s->reads++;
+		s->reads_now++;
+	}
+	if (type == CALL_WATCH)
+		s->watch_calls++;
+	s->peak_reads = MAX(s->peak_reads, s->reads_now);
+	s->peak_writes = MAX(s->peak_writes, s->writes_now);
+	return !s->rate_cap || s->reads_now + s->writes_now <= s->rate_cap;
+}
+
+static void accept_call(struct store *s, struct http_exchange *exchange)
+{
+	struct call *c = g_new0(struct call, 1);
+
+	c->store = s;
+	c->exchange = exchange;
+	uv_timer_init(s->loop, &c->timer);
+	c->timer.data = c;
+	parse_call(c);
+	if (!count_call(s, c->type) || s->outage == OUTAGE_REFUSE) {
+		s->refused++;
+		reply_error(c, s->outage ? 503 : 429, "refused", 0);
+		return;
+	}
+	http_exchange_on_close(exchange, on_client_gone, c);
+	if (s->outage == OUTAGE_HANG) {
+		s->refused++;
+		g_ptr_array_add(s->hung, c);
+		return;
+	}
+	uv_timer_start(&c->timer, on_delay, s->delay_ms, 0);
+}
+
+/* Calls held by an outage never took effect; their connections are cut. */
+static void release_hung(struct store *s)
+{
+	while (s->hung->len) {
+		struct call *c = g_ptr_array_remove_index_fast(
+			s->hung, s->hung->len - 1);
+
+		if (c->exchange)
+			http_exchange_abort(c->exchange);
+		call_end(c);
+	}
+}
+
+static void cut_watches(struct store *s)
+{
+	while (s->watches->len) {
+		struct call *c = g_ptr_array_index(s->watches, 0);
+
+		if (c->exchange)
+			http_exchange_abort(c->exchange);
+		c->exchange = NULL;
+		call_end(c);
+	}
+}
+
+static void set_outage(struct store *s, const char *name)
+{
+	s->outage = !strcmp(name, "refuse") ? OUTAGE_REFUSE :
+		    !strcmp(name, "hang")   ? OUTAGE_HANG :
+					      OUTAGE_NONE;
+	if (s->outage == OUTAGE_NONE)
+		release_hung(s);
+	else
+		cut_watches(s);
+}
+
+static void set_number(const json_t *faults, const char *key, uint32_t *out)
+{
+	json_t *value = json_object_get(faults, key);
+
+	if (json_is_integer(value) && json_integer_value(value) >= 0)
+		*out = (uint32_t)json_integer_value(value);
+}
+
+static void set_faults(struct store *s, struct http_exchange *exchange)
+{
+	struct http_text body = http_exchange_body(exchange);
+	json_t *faults = json_loadb(body.bytes, body.size, 0, NULL);
+	json_t *outage = json_object_get(faults, "outage");
+
+	if (!faults) {
+		http_exchange_reply_text(
+			exchange, 400, "text/plain",
+			"send {\"outage\": \"none|refuse|hang\", \"delay_ms\": "
+			"N, \"lose_answers\": N, \"rate_cap\": N}\n");
+		return;
+	}
+	if (json_is_string(outage))
+		set_outage(s, json_string_value(outage));
+	set_number(faults, "delay_ms", &s->delay_ms);
+	set_number(faults, "lose_answers", &s->lose_answers);
+	set_number(faults, "rate_cap", &s->rate_cap);
+	json_decref(faults);
+	http_exchange_reply_text(exchange, 200, "text/plain", "set\n");
+}
+
+static void reply_counters(struct store *s, struct http_exchange *exchange)
+{
+	char *text = g_strdup_printf(
+		"reads %" PRIu64 "\nwrites %" PRIu64 "\nwatches %" PRIu64
+		"\nrefused %" PRIu64 "\nlost_answers %" PRIu64
+		"\npeak_reads_per_s %" PRIu64 "\npeak_writes_per_s %" PRIu64
+		"\nwaiting_watches %u\nrevision %" PRIu64 "\n",
+		s->reads, s->writes, s->watch_calls, s->refused, s->lost,
+		s->peak_reads, s->peak_writes, s->watches->len, s->revision);
+
+	http_exchange_reply_text(exchange, 200, "text/plain", text);
+	g_free(text);
+}
+
+static void on_request(void *data, struct http_exchange *exchange)
+{
+	struct store *s = data;
+
+	if (http_exchange_path_is(exchange, "/control/faults"))
+		set_faults(s, exchange);
+	else if (http_exchange_path_is(exchange, "/control/counters"))
+		reply_counters(s, exchange);
+	else
+		accept_call(s, exchange);
+}
+
+struct sweep {
+	GHashTable *leases;
+	GPtrArray *keys;
+};
+
+static gboolean collect_orphan(gpointer key, gpointer value, gpointer data)
+{
+	struct entry *entry = value;
+	struct sweep *sweep = data;
+
+	if (entry->lease &&
+	    !g_hash_table_contains(sweep->leases, &entry->lease))
+		g_ptr_array_add(sweep->keys, g_strdup(key));
+	return FALSE;
+}
+
+static gboolean lease_expired(gpointer key, gpointer value, gpointer data)
+{
+	struct lease *lease = value;
+	struct store *s = data;
+
+	(void)key;
+	return uv_now(s->loop) >= lease->expires_ms;
+}
+
+static void on_sweep(uv_timer_t *timer)
+{
+	struct store *s = timer->data;
+	struct sweep sweep = {s->leases, NULL};
+
+	if (!g_hash_table_foreach_remove(s->leases, lease_expired, s))
+		return;
+	sweep.keys = g_ptr_array_new_with_free_func(g_free);
+	g_tree_foreach(s->entries, collect_orphan, &sweep);
+	for (guint i = 0; i < sweep.keys->len; i++)
+		g_tree_remove(s->entries, g_ptr_array_index(sweep.keys, i));
+	g_ptr_array_free(sweep.keys, TRUE);
+}
+
+static void store_init(struct store *s, uv_loop_t *loop)
+{
+	memset(s, 0, sizeof(*s));
+	s->loop = loop;
+	s->delay_ms = ANSWER_MS;
+	s->entries = g_tree_new_full(compare_keys, NULL, g_free, entry_free);
+	s->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  g_free);
+	s->watches = g_ptr_array_new();
+	s->hung = g_ptr_array_new();
+	uv_timer_init(loop, &s->sweep);
+	s->sweep.data = s;
+	uv_timer_start(&s->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+}
+
+int main(int argc, char **argv)
+{
+	static const GOptionEntry entries[] = {
+		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+	};
+	static struct store store;
+	struct http_server *server;
+	struct address address;
+
+	program_parse(&argc, &argv, entries, "IP:PORT",
+		      "A fake of the platform's key-value service for tests.");
+	if (argc != 2 || address_parse(argv[1], &address))
+		program_usage_error("fescue-store-standin",
+				    "name the IP:PORT to listen on");
+	signal(SIGPIPE, SIG_IGN);
+	store_init(&store, uv_default_loop());
+	if (http_server_create(store.loop, address, on_request, &store,
+			       &server)) {
+		fprintf(stderr,
+			"fescue-store-standin: cannot listen on %s; check "
+			"that the port is free\n",
+			argv[1]);
+		return EXIT_REFUSED;
+	}
+	uv_run(store.loop, UV_RUN_DEFAULT);
+	return EXIT_GOOD;
+}
