--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -49,7 +49,7 @@
 void membership_set_version(struct membership *membership, uint64_t version,
 			    uint64_t hash);
 
-/* Contact an address that may run a node. */
+/* Contact an address that may run a node, unless it is known to be up. */
 void membership_join(struct membership *membership, uint64_t address,
 		     struct outbox *outbox);
 
--- a/programs/fescue_check.c
+++ b/programs/fescue_check.c
@@ -45,11 +45,11 @@
 	       " unknown=%" PRIu64 " runs=%" PRIu64 " nodes=%" PRIu64
 	       " versions=%" PRIu64 " convergence_ms_p50=%" PRIu64
 	       " convergence_ms_p99=%" PRIu64 " convergence_ms_max=%" PRIu64
-	       " violations=%zu\n",
+	       " wrong=%zu violations=%zu\n",
 	       s.calls, s.ran, s.not_run, s.unknown, s.runs, s.nodes,
 	       s.versions, s.convergence_p50_us / 1000,
 	       s.convergence_p99_us / 1000, s.convergence_max_us / 1000,
-	       violations);
+	       history_violations(history, HISTORY_OWN_ANSWER), violations);
 }
 
 int main(int argc, char **argv)
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -11,6 +11,7 @@
 #define RENDEZVOUS_RENEW_MS 3000
 #define RETRY_MIN_MS 250
 #define RETRY_MAX_MS 5000
+#define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
 #define SETTLE_MS 3000 /* time in which gossip brings the newest version */
 
@@ -204,6 +205,25 @@
 				    b->watch_after, on_watch, b);
 }
 
+/* Join the addresses found, so that separate groups of nodes merge. */
+static void on_relisted(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	note_store(b, result->error);
+	for (size_t i = 0; i < result->item_count; i++)
+		join(b, &result->items[i]);
+	node_flush(b->node);
+}
+
+static void relist(struct bootstrap *b)
+{
+	b->rendezvous_call =
+		store_list(b->node->store, RENDEZVOUS_PREFIX, on_relisted, b);
+}
+
+/* A conflict means that another node took itself for the same relay. */
 static void on_published(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
@@ -212,8 +232,10 @@
 	note_store(b, result->error);
 	b->record_revision = result->revision;
 	b->published = result->error == FESCUE_OK;
-	if (result->error == FESCUE_ECONFLICT)
-		b->rendezvous_at_ms = 0;
+	if (result->error == FESCUE_ECONFLICT) {
+		b->rendezvous_at_ms = node_now_ms(b->node) + CONFLICT_PAUSE_MS;
+		relist(b);
+	}
 }
 
 static void on_granted(void *data, const struct store_result *result)
@@ -237,6 +259,8 @@
 	note_store(b, result->error);
 	if (result->error == FESCUE_ENOTFOUND)
 		b->lease = 0;
+	else if (!result->error)
+		relist(b);
 }
 
 static void publish(struct bootstrap *b)
--- a/src/membership.c
+++ b/src/membership.c
@@ -699,7 +699,10 @@
 void membership_join(struct membership *m, uint64_t address,
 		     struct outbox *outbox)
 {
-	if (address != self_member(m)->host.address)
+	const struct member *known = find_member(m, address);
+
+	if (address != self_member(m)->host.address &&
+	    (!known || !host_is_up(&known->host)))
 		send_ping(m, address, ++m->sequence, outbox);
 }
 
