--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -95,11 +95,6 @@
 int distribution_next_action(struct distribution *distribution,
 			     struct distribution_action *action);
 
-/* Never serve below this version: a peer or the store was seen to have it. */
-void distribution_raise_floor(struct distribution *distribution,
-			      uint64_t version);
-uint64_t distribution_floor(const struct distribution *distribution);
-
 uint64_t distribution_version(const struct distribution *distribution);
 uint64_t distribution_staged_version(const struct distribution *distribution);
 int distribution_is_relay(const struct distribution *distribution);
--- /dev/null
+++ b/fescue/floor.h
@@ -0,0 +1,40 @@
+/*
+ * Floor: the version below which a node must not serve.
+ *
+ * A node that starts, or wakes from a freeze, does not know which version it
+ * had before. Its floor is confirmed by the store's own revision or, while
+ * the store is out, by peers: once a whole member table was received and the
+ * settle time has passed, the highest version any of them was seen to have
+ * in force. The module reads no clock.
+ */
+#ifndef FESCUE_FLOOR_H
+#define FESCUE_FLOOR_H
+
+#include <stdint.h>
+
+/* Time in which gossip brings the newest version to a joining node. */
+#define FLOOR_SETTLE_MS 3000
+
+struct floor {
+	uint64_t version;
+	int confirmed;
+	uint64_t synced_since_ms; /* 0: no table from a peer yet */
+};
+
+/* Forget the confirmation, as after a start or a freeze. */
+void floor_reset(struct floor *floor);
+
+/* The store said that the newest version is this one. */
+void floor_confirm_by_store(struct floor *floor, uint64_t version);
+
+/*
+ * Tell what peers have shown. Returns 1 when this call confirmed the floor.
+ * synced: a whole member table was received since the last reset.
+ */
+int floor_confirm_by_peers(struct floor *floor, int synced,
+			   uint64_t highest_version, uint64_t now_ms);
+
+/* May a node with this version in force serve? */
+int floor_allows(const struct floor *floor, uint64_t version);
+
+#endif
--- a/fescue/host.h
+++ b/fescue/host.h
@@ -40,6 +40,9 @@
 	return host_is_up(host) && host->serving && host->service[0];
 }
 
+/* Do two records of a host differ in what routing depends on? */
+int host_differs(const struct host *a, const struct host *b);
+
 /* Weight for rendezvous hashing: highest weights win. */
 uint64_t host_weight(uint64_t host, const char *purpose, uint64_t salt);
 
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -1,8 +1,9 @@
 /*
  * Router: which host gets a call.
  *
- * Hosts of the own failure domain come first while they have room; among the
- * candidates two random ones are compared by load and latency. Outcomes of
+ * Hosts of the own failure domain come first while they have room, then any
+ * host with room, then all; of those two random ones are compared by load and
+ * latency. Outcomes of
  * own calls eject a failing host for a while, but never more than half of a
  * service's hosts. A host seen for the first time starts slowly. The module
  * owns no socket and reads no clock.
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -2,6 +2,7 @@
 
 #include "fescue/envelope.h"
 #include "fescue/error.h"
+#include "fescue/floor.h"
 #include "log.h"
 
 #include <string.h>
@@ -13,7 +14,6 @@
 #define RETRY_MAX_MS 5000
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
-#define SETTLE_MS 3000 /* time in which gossip brings the newest version */
 
 enum boot_phase {
 	BOOT_WAIT,     /* for the next attempt's time */
@@ -28,9 +28,8 @@
 	enum boot_phase phase;
 	uint64_t attempt_at_ms;
 	uint32_t retry_ms;
-	int confirmed;
-	uint64_t role_at_ms;	  /* no relay role before peers could answer */
-	uint64_t synced_since_ms; /* 0: no table from a peer yet */
+	struct floor floor;
+	uint64_t role_at_ms; /* no relay role before peers could answer */
 	int store_up;
 	struct store_call *boot_call;
 	int watching;
@@ -86,9 +85,8 @@
 		retry_boot(b);
 		return;
 	}
-	distribution_raise_floor(b->node->distribution, result->revision);
+	floor_confirm_by_store(&b->floor, result->revision);
 	b->phase = BOOT_DONE;
-	b->confirmed = 1;
 	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
 		  result->revision);
 }
@@ -124,25 +122,18 @@
 		store_get(b->node->store, STORE_CONFIG_KEY, 1, on_revision, b);
 }
 
-/* The store is out: peers that were heard for a while know the floor. */
+/* While the store is out, peers that were heard for a while know the floor. */
 static void confirm_by_peers(struct bootstrap *b, uint64_t now_ms)
 {
-	struct node *node = b->node;
+	const struct membership *membership = b->node->membership;
 
-	if (!membership_is_synced(node->membership)) {
-		b->synced_since_ms = 0;
-		return;
-	}
-	if (!b->synced_since_ms)
-		b->synced_since_ms = now_ms;
-	if (now_ms < b->synced_since_ms + SETTLE_MS)
+	if (!floor_confirm_by_peers(&b->floor, membership_is_synced(membership),
+				    membership_highest_version(membership),
+				    now_ms))
 		return;
-	distribution_raise_floor(node->distribution,
-				 membership_highest_version(node->membership));
-	b->confirmed = 1;
 	b->phase = BOOT_DONE;
 	log_state("floor confirmed by peers at version %" G_GUINT64_FORMAT,
-		  distribution_floor(node->distribution));
+		  b->floor.version);
 }
 
 static void boot_tick(struct bootstrap *b, uint64_t now_ms)
@@ -152,8 +143,7 @@
 		b->boot_call = store_list(b->node->store, RENDEZVOUS_PREFIX,
 					  on_list, b);
 	}
-	if (!b->confirmed)
-		confirm_by_peers(b, now_ms);
+	confirm_by_peers(b, now_ms);
 }
 
 static void take_value(struct bootstrap *b, const struct store_result *result)
@@ -345,8 +335,7 @@
 		store_call_cancel(b->boot_call);
 	b->boot_call = NULL;
 	b->phase = BOOT_WAIT;
-	b->confirmed = 0;
-	b->synced_since_ms = 0;
+	floor_reset(&b->floor);
 	b->retry_ms = RETRY_MIN_MS;
 	b->lease = 0;
 	b->published = 0;
@@ -365,9 +354,9 @@
 	b->watch_call = NULL;
 }
 
-int bootstrap_is_confirmed(const struct bootstrap *b)
+const struct floor *bootstrap_floor(const struct bootstrap *b)
 {
-	return b->confirmed;
+	return &b->floor;
 }
 
 int bootstrap_store_is_up(const struct bootstrap *b)
--- a/src/bootstrap.h
+++ b/src/bootstrap.h
@@ -5,6 +5,7 @@
 #ifndef FESCUE_BOOTSTRAP_H
 #define FESCUE_BOOTSTRAP_H
 
+#include "fescue/floor.h"
 #include "node.h"
 
 struct bootstrap *bootstrap_create(struct node *node, uint32_t seed);
@@ -19,8 +20,8 @@
 /* Advance time. */
 void bootstrap_tick(struct bootstrap *bootstrap);
 
-/* Is the floor known, so that serving at or above it is safe? */
-int bootstrap_is_confirmed(const struct bootstrap *bootstrap);
+/* The version below which this node must not serve. */
+const struct floor *bootstrap_floor(const struct bootstrap *bootstrap);
 
 /* Did the store answer the last call made to it? */
 int bootstrap_store_is_up(const struct bootstrap *bootstrap);
--- a/src/ctl_store.c
+++ b/src/ctl_store.c
@@ -15,7 +15,7 @@
 #include <string.h>
 
 #define SETTLE_ATTEMPTS 20
-#define SETTLE_PAUSE_MS 250
+#define SETTLE_PAUSE_US 250000ul
 
 /* What the store holds under the configuration's key. */
 struct stored {
@@ -198,12 +198,6 @@
 	return EXIT_GOOD;
 }
 
-static void pause_loop(struct ctl *ctl)
-{
-	(void)ctl;
-	g_usleep(SETTLE_PAUSE_MS * 1000);
-}
-
 enum settlement {
 	SETTLED_ACCEPTED,
 	SETTLED_REPLACED, /* accepted, and later changes followed */
@@ -257,7 +251,7 @@
 		if (fate != UNSETTLED)
 			return fate;
 		stored_clear(now);
-		pause_loop(ctl);
+		g_usleep(SETTLE_PAUSE_US);
 	}
 	return doubtful ? UNSETTLED : SETTLED_REFUSED;
 }
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -1,17 +1,14 @@
 #include "fescue/distribution.h"
 
-#include "fescue/delta.h"
 #include "fescue/error.h"
+#include "failure_domain.h"
 #include "fescue/membership.h"
-#include "fescue/snapshot.h"
 #include "packet.h"
+#include "version_text.h"
 
 #include <assert.h>
 #include <string.h>
 
-#define HISTORY_TEXTS 4
-#define DELTA_SHARE_PERCENT 50
-
 const struct distribution_settings distribution_defaults = {
 	.mode = DISTRIBUTION_RELAY,
 	.relays_per_domain = 2,
@@ -22,14 +19,6 @@
 	.deltas = 1,
 };
 
-/* One version of the configuration text. */
-struct text {
-	uint64_t version; /* 0: none */
-	uint64_t hash;
-	char *bytes;
-	size_t size;
-};
-
 /* A push that its receiver has not acknowledged. */
 struct pending_push {
 	uint64_t child;
@@ -44,10 +33,9 @@
 	uint64_t generation_seen;
 	size_t rank;
 	int watching;
-	uint64_t floor;
-	struct text history[HISTORY_TEXTS]; /* [0] is in force */
-	struct text staged;		    /* checked, not yet in force */
-	GArray *pending;		    /* struct pending_push */
+	struct version_history history; /* the newest is in force */
+	struct version_text staged;	/* checked, not yet in force */
+	GArray *pending;		/* struct pending_push */
 	uint64_t push_due_ms;	 /* 0: none; when a further relay pushes */
 	uint64_t pushed_version; /* this domain's tree is under way */
 	uint64_t fetch_from;
@@ -57,12 +45,6 @@
 	GQueue actions; /* struct distribution_action */
 };
 
-static void text_clear(struct text *text)
-{
-	g_free(text->bytes);
-	memset(text, 0, sizeof(*text));
-}
-
 static void pending_clear(gpointer data)
 {
 	struct pending_push *pending = data;
@@ -70,6 +52,11 @@
 	g_array_free(pending->subtree, TRUE);
 }
 
+static const struct version_text *in_force(const struct distribution *d)
+{
+	return &d->history.texts[0];
+}
+
 static void add_action(struct distribution *d,
 		       enum distribution_action_type type, uint64_t version)
 {
@@ -79,9 +66,9 @@
 	action->type = type;
 	action->version = version;
 	if (type == DISTRIBUTION_APPLY) {
-		action->u.apply.text = d->history[0].bytes;
-		action->u.apply.size = d->history[0].size;
-		action->u.apply.hash = d->history[0].hash;
+		action->u.apply.text = in_force(d)->bytes;
+		action->u.apply.size = in_force(d)->size;
+		action->u.apply.hash = in_force(d)->hash;
 	} else if (type == DISTRIBUTION_REJECT) {
 		action->u.reject = d->rejected;
 	}
@@ -104,36 +91,19 @@
 	}
 }
 
-static void put_in_force(struct distribution *d, struct text *text)
+static void put_in_force(struct distribution *d, struct version_text *text)
 {
-	assert(text->version > d->history[0].version);
+	assert(text->version > in_force(d)->version);
 	drop_stale_applies(d);
-	text_clear(&d->history[HISTORY_TEXTS - 1]);
-	memmove(&d->history[1], &d->history[0],
-		sizeof(d->history) - sizeof(d->history[0]));
-	d->history[0] = *text;
-	memset(text, 0, sizeof(*text));
-	d->floor = MAX(d->floor, d->history[0].version);
-	add_action(d, DISTRIBUTION_APPLY, d->history[0].version);
+	version_history_push(&d->history, text);
+	add_action(d, DISTRIBUTION_APPLY, in_force(d)->version);
 }
 
 /* Highest version held, in force or staged. */
-static const struct text *newest(const struct distribution *d)
+static const struct version_text *newest(const struct distribution *d)
 {
-	return d->staged.version > d->history[0].version ? &d->staged :
-							   &d->history[0];
-}
-
-static const struct text *find_base(const struct distribution *d,
-				    uint64_t version, uint64_t hash)
-{
-	if (!version)
-		return NULL;
-	for (size_t i = 0; i < HISTORY_TEXTS; i++)
-		if (d->history[i].version == version &&
-		    d->history[i].hash == hash)
-			return &d->history[i];
-	return NULL;
+	return d->staged.version > in_force(d)->version ? &d->staged :
+							  in_force(d);
 }
 
 static void reject(struct distribution *d, uint64_t version,
@@ -161,42 +131,11 @@
 	return error;
 }
 
-static struct text text_copy(uint64_t version, const char *bytes, size_t size)
-{
-	struct text text = {version, config_hash(bytes, size),
-			    g_malloc(size + 1), size};
-
-	memcpy(text.bytes, bytes, size);
-	text.bytes[size] = '\0';
-	return text;
-}
-
-static void fill_body(const struct distribution *d, Fescue__ConfigPush *push,
-		      const struct text *text, const struct text *base)
-{
-	struct delta delta;
-
-	if (base && d->settings.deltas) {
-		delta = delta_compute(base->bytes, base->size, text->bytes,
-				      text->size);
-		if (delta.middle_bytes <
-		    text->size * DELTA_SHARE_PERCENT / 100) {
-			push->base_version = base->version;
-			push->base_hash = base->hash;
-			push->prefix_bytes = delta.prefix_bytes;
-			push->suffix_bytes = delta.suffix_bytes;
-			packet_set_bytes(&push->body, delta.middle,
-					 delta.middle_bytes);
-			return;
-		}
-	}
-	packet_set_bytes(&push->body, text->bytes, text->size);
-}
-
 static void send_text(struct distribution *d, uint64_t to,
-		      const struct text *text, const struct text *base,
-		      const uint64_t *subtree, size_t subtree_len,
-		      enum packet_purpose purpose, struct outbox *outbox)
+		      const struct version_text *text,
+		      const struct version_text *base, const uint64_t *subtree,
+		      size_t subtree_len, enum packet_purpose purpose,
+		      struct outbox *outbox)
 {
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_CONFIG_PUSH);
@@ -204,18 +143,18 @@
 
 	push->version = text->version;
 	push->hash = text->hash;
-	fill_body(d, push, text, base);
+	version_text_encode(text, d->settings.deltas ? base : NULL, push);
 	push->n_subtree = subtree_len;
 	push->subtree = g_memdup2(subtree, subtree_len * sizeof(*subtree));
 	outbox_send(outbox, to, purpose, packet);
 }
 
 /* The text a peer most likely has: the one in force before this version. */
-static const struct text *likely_base(const struct distribution *d,
-				      const struct text *text)
+static const struct version_text *likely_base(const struct distribution *d,
+					      const struct version_text *text)
 {
-	const struct text *base = text == &d->staged ? &d->history[0] :
-						       &d->history[1];
+	const struct version_text *base =
+		text == &d->staged ? in_force(d) : &d->history.texts[1];
 
 	return base->version ? base : NULL;
 }
@@ -224,7 +163,7 @@
 static void push_subtree(struct distribution *d, const uint64_t *hosts,
 			 size_t n, uint64_t now_ms, struct outbox *outbox)
 {
-	const struct text *text = newest(d);
+	const struct version_text *text = newest(d);
 	size_t groups = MIN(n, d->settings.fan_out);
 	size_t start = 0;
 
@@ -243,65 +182,22 @@
 	}
 }
 
-struct weighted_host {
-	uint64_t host;
-	uint64_t weight;
-};
-
-static gint compare_weights(gconstpointer a, gconstpointer b)
-{
-	const struct weighted_host *x = a, *y = b;
-
-	if (x->weight != y->weight)
-		return x->weight < y->weight ? 1 : -1;
-	return x->host < y->host ? -1 : x->host > y->host;
-}
-
-/* Live hosts of the own failure domain, heaviest first. */
-static GArray *domain_hosts(const struct distribution *d, const char *purpose,
-			    uint64_t salt, int include_self)
-{
-	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(struct weighted_host));
-	const struct host *self = membership_self(d->membership);
-	size_t n = membership_count(d->membership);
-
-	for (size_t i = 0; i < n; i++) {
-		const struct host *host = membership_host(d->membership, i);
-		struct weighted_host entry = {host->address,
-					      host_weight(host->address,
-							  purpose, salt)};
-
-		if (!host_is_up(host) || (host == self && !include_self))
-			continue;
-		if (!strcmp(host->failure_domain, self->failure_domain))
-			g_array_append_val(hosts, entry);
-	}
-	g_array_sort(hosts, compare_weights);
-	return hosts;
-}
-
 /* Start this domain's tree with the own host as its root. */
 static void push_domain(struct distribution *d, uint64_t now_ms,
 			struct outbox *outbox)
 {
 	uint64_t version = newest(d)->version;
-	GArray *hosts, *addresses;
+	GArray *hosts;
 
 	d->push_due_ms = 0;
 	if (d->pushed_version >= version ||
 	    d->settings.mode != DISTRIBUTION_RELAY)
 		return;
 	d->pushed_version = version;
-	hosts = domain_hosts(d, "push", version, 0);
-	addresses = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	for (guint i = 0; i < hosts->len; i++)
-		g_array_append_val(
-			addresses,
-			g_array_index(hosts, struct weighted_host, i).host);
-	push_subtree(d, (const uint64_t *)addresses->data, addresses->len,
-		     now_ms, outbox);
+	hosts = failure_domain_hosts(d->membership, "push", version);
+	push_subtree(d, (const uint64_t *)hosts->data, hosts->len, now_ms,
+		     outbox);
 	g_array_free(hosts, TRUE);
-	g_array_free(addresses, TRUE);
 }
 
 /* No other host is left that could hold the version as well. */
@@ -371,8 +267,8 @@
 	}
 	if (check_text(d, version, text, size))
 		return;
-	text_clear(&d->staged);
-	d->staged = text_copy(version, text, size);
+	version_text_clear(&d->staged);
+	d->staged = version_text_copy(version, text, size);
 	if (!needs_witness(d))
 		commit_staged(d);
 	schedule_push(d, now_ms, outbox);
@@ -385,8 +281,8 @@
 		packet_create(FESCUE__PACKET__BODY_CONFIG_FETCH);
 
 	if (!whole) {
-		packet->config_fetch->have_version = d->history[0].version;
-		packet->config_fetch->have_hash = d->history[0].hash;
+		packet->config_fetch->have_version = in_force(d)->version;
+		packet->config_fetch->have_hash = in_force(d)->hash;
 	}
 	d->fetch_from = peer;
 	d->fetch_started_ms = now_ms;
@@ -415,31 +311,6 @@
 	outbox_send(outbox, to, PACKET_CONFIG, packet);
 }
 
-/* Rebuild the pushed text; FESCUE_EMISMATCH asks for it whole. */
-static int decode_push(const struct distribution *d,
-		       const Fescue__ConfigPush *push, struct text *out)
-{
-	const struct text *base;
-	struct delta delta = {push->prefix_bytes, push->suffix_bytes,
-			      (const char *)push->body.data, push->body.len};
-
-	if (!push->base_version) {
-		*out = text_copy(push->version, (const char *)push->body.data,
-				 push->body.len);
-	} else {
-		base = find_base(d, push->base_version, push->base_hash);
-		if (!base || delta_apply(base->bytes, base->size, &delta,
-					 &out->bytes, &out->size))
-			return FESCUE_EMISMATCH;
-		out->version = push->version;
-		out->hash = config_hash(out->bytes, out->size);
-	}
-	if (out->hash == push->hash)
-		return FESCUE_OK;
-	text_clear(out);
-	return FESCUE_EMISMATCH;
-}
-
 static int is_own_domain(const struct distribution *d, uint64_t peer)
 {
 	const struct host *self = membership_self(d->membership);
@@ -453,9 +324,9 @@
 		       const Fescue__ConfigPush *push, uint64_t now_ms,
 		       struct outbox *outbox)
 {
-	struct text text = {0};
+	struct version_text text = {0};
 
-	if (push->version <= d->history[0].version)
+	if (push->version <= in_force(d)->version)
 		return FESCUE_OK;
 	if (push->version < d->staged.version)
 		return FESCUE_OK;
@@ -465,15 +336,15 @@
 	}
 	if (push->version <= d->rejected_version)
 		return FESCUE_EINVAL;
-	if (decode_push(d, push, &text)) {
+	if (version_text_decode(&d->history, push, &text)) {
 		send_fetch(d, from, now_ms, 1, outbox);
 		return FESCUE_EMISMATCH;
 	}
 	if (check_text(d, text.version, text.bytes, text.size)) {
-		text_clear(&text);
+		version_text_clear(&text);
 		return FESCUE_EINVAL;
 	}
-	text_clear(&d->staged);
+	version_text_clear(&d->staged);
 	put_in_force(d, &text);
 	return FESCUE_OK;
 }
@@ -490,7 +361,7 @@
 			 struct outbox *outbox)
 {
 	int was_fetch = d->fetch_from == from;
-	uint64_t before = d->history[0].version;
+	uint64_t before = in_force(d)->version;
 	int error = accept_push(d, from, push, now_ms, outbox);
 
 	if (error)
@@ -502,7 +373,7 @@
 		d->pushed_version = MAX(d->pushed_version, push->version);
 	forward_push(d, push, now_ms, outbox);
 	/* News from another domain: this domain may not have it yet. */
-	if (before && d->history[0].version > before &&
+	if (before && in_force(d)->version > before &&
 	    !is_own_domain(d, from) && !push->n_subtree)
 		push_domain(d, now_ms, outbox);
 }
@@ -526,11 +397,12 @@
 			  const Fescue__ConfigFetch *fetch,
 			  struct outbox *outbox)
 {
-	const struct text *text = &d->history[0];
+	const struct version_text *text = in_force(d);
 
 	if (text->version > fetch->have_version)
 		send_text(d, from, text,
-			  find_base(d, fetch->have_version, fetch->have_hash),
+			  version_history_find(&d->history, fetch->have_version,
+					       fetch->have_hash),
 			  NULL, 0, PACKET_REPAIR, outbox);
 	else if (d->staged.version > fetch->have_version)
 		send_text(d, from, &d->staged, NULL, NULL, 0, PACKET_REPAIR,
@@ -578,19 +450,6 @@
 	}
 }
 
-static size_t own_rank(const struct distribution *d)
-{
-	GArray *hosts = domain_hosts(d, "relay", 0, 1);
-	uint64_t self = membership_self(d->membership)->address;
-	size_t rank = 0;
-
-	while (rank < hosts->len &&
-	       g_array_index(hosts, struct weighted_host, rank).host != self)
-		rank++;
-	g_array_free(hosts, TRUE);
-	return rank;
-}
-
 static void review_role(struct distribution *d)
 {
 	uint64_t generation = membership_generation(d->membership);
@@ -599,7 +458,7 @@
 	if (generation == d->generation_seen)
 		return;
 	d->generation_seen = generation;
-	d->rank = own_rank(d);
+	d->rank = failure_domain_rank(d->membership, "relay");
 	watch = d->settings.mode == DISTRIBUTION_POLL ||
 		d->rank < d->settings.relays_per_domain;
 	if (watch == d->watching)
@@ -668,26 +527,15 @@
 		return;
 	while (distribution_next_action(d, &action))
 		continue;
-	for (size_t i = 0; i < HISTORY_TEXTS; i++)
-		text_clear(&d->history[i]);
-	text_clear(&d->staged);
+	version_history_clear(&d->history);
+	version_text_clear(&d->staged);
 	g_array_free(d->pending, TRUE);
 	g_free(d);
 }
 
-void distribution_raise_floor(struct distribution *d, uint64_t version)
-{
-	d->floor = MAX(d->floor, version);
-}
-
-uint64_t distribution_floor(const struct distribution *d)
-{
-	return d->floor;
-}
-
 uint64_t distribution_version(const struct distribution *d)
 {
-	return d->history[0].version;
+	return in_force(d)->version;
 }
 
 uint64_t distribution_staged_version(const struct distribution *d)
--- /dev/null
+++ b/src/failure_domain.c
@@ -0,0 +1,68 @@
+#include "failure_domain.h"
+
+#include <string.h>
+
+struct weighted_host {
+	uint64_t address;
+	uint64_t weight;
+};
+
+static gint compare_weights(gconstpointer a, gconstpointer b)
+{
+	const struct weighted_host *x = a, *y = b;
+
+	if (x->weight != y->weight)
+		return x->weight < y->weight ? 1 : -1;
+	return x->address < y->address ? -1 : x->address > y->address;
+}
+
+static int is_neighbour(const struct host *self, const struct host *host)
+{
+	return host != self && host_is_up(host) &&
+	       !strcmp(host->failure_domain, self->failure_domain);
+}
+
+GArray *failure_domain_hosts(const struct membership *membership,
+			     const char *purpose, uint64_t salt)
+{
+	GArray *hosts = g_array_new(FALSE, FALSE, sizeof(struct weighted_host));
+	GArray *addresses = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	const struct host *self = membership_self(membership);
+
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const struct host *host = membership_host(membership, i);
+		struct weighted_host entry = {host->address,
+					      host_weight(host->address,
+							  purpose, salt)};
+
+		if (is_neighbour(self, host))
+			g_array_append_val(hosts, entry);
+	}
+	g_array_sort(hosts, compare_weights);
+	for (guint i = 0; i < hosts->len; i++)
+		g_array_append_val(
+			addresses,
+			g_array_index(hosts, struct weighted_host, i).address);
+	g_array_free(hosts, TRUE);
+	return addresses;
+}
+
+size_t failure_domain_rank(const struct membership *membership,
+			   const char *purpose)
+{
+	const struct host *self = membership_self(membership);
+	struct weighted_host own = {self->address,
+				    host_weight(self->address, purpose, 0)};
+	size_t rank = 0;
+
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const struct host *host = membership_host(membership, i);
+		struct weighted_host entry = {
+			host->address, host_weight(host->address, purpose, 0)};
+
+		if (is_neighbour(self, host) &&
+		    compare_weights(&entry, &own) < 0)
+			rank++;
+	}
+	return rank;
+}
--- a/src/history.c
+++ b/src/history.c
@@ -355,65 +355,89 @@
 	g_hash_table_destroy(sources);
 }
 
-/* Count runs by a text of the record: its id or its key. */
-static GHashTable *count_runs(const struct history *h, int by_key)
+struct call_tables {
+	GHashTable *runs_by_id;
+	GHashTable *runs_by_key;
+	GHashTable *key_of_id; /* of calls */
+};
+
+/* The answer's id is the call's own, or that of a send of the same key. */
+static int is_own_answer(const struct record *r, const struct call_tables *t)
 {
-	GHashTable *runs = text_table();
+	const char *key;
 
-	for (guint i = 0; i < h->records->len; i++) {
-		const struct record *r = record_at(h, i);
-		char *text = by_key ? r->key : r->id;
-		size_t n;
+	if (!r->whole)
+		return 0;
+	if (!*r->echo || !strcmp(r->echo, r->id))
+		return 1;
+	key = g_hash_table_lookup(t->key_of_id, r->echo);
+	return *r->key && key && !strcmp(key, r->key);
+}
 
-		if (r->type != RECORD_RUN || !*text)
-			continue;
-		n = GPOINTER_TO_SIZE(g_hash_table_lookup(runs, text));
-		g_hash_table_insert(runs, text, GSIZE_TO_POINTER(n + 1));
-	}
-	return runs;
+static void check_ran(struct history *h, const struct record *r,
+		      const struct call_tables *t)
+{
+	if (!is_own_answer(r, t))
+		violate(h, HISTORY_OWN_ANSWER, r,
+			"call %s got the answer of '%s', whole=%d", r->id,
+			r->echo, r->whole);
+	if (*r->key ? !g_hash_table_contains(t->runs_by_key, r->key) :
+		      !g_hash_table_contains(t->runs_by_id, r->id))
+		violate(h, HISTORY_RAN, r,
+			"call %s was said to have run and did not", r->id);
 }
 
 static void check_call(struct history *h, const struct record *r,
-		       GHashTable *runs)
+		       const struct call_tables *t)
 {
-	size_t ran = GPOINTER_TO_SIZE(g_hash_table_lookup(runs, r->id));
-
 	h->summary.calls++;
 	if (!strcmp(r->outcome, "ran")) {
 		h->summary.ran++;
-		if (!r->whole || (*r->echo && strcmp(r->echo, r->id)))
-			violate(h, HISTORY_OWN_ANSWER, r,
-				"call %s got the answer of '%s', whole=%d",
-				r->id, r->echo, r->whole);
-		if (!ran && !*r->key)
-			violate(h, HISTORY_RAN, r,
-				"call %s was said to have run and did not",
-				r->id);
+		check_ran(h, r, t);
 	} else if (!strcmp(r->outcome, "not-run")) {
 		h->summary.not_run++;
-		if (ran)
+		if (g_hash_table_contains(t->runs_by_id, r->id))
 			violate(h, HISTORY_NOT_RUN, r,
-				"call %s was said not to have run, but ran "
-				"%zu times",
-				r->id, ran);
+				"call %s was said not to have run, but ran",
+				r->id);
 	} else {
 		h->summary.unknown++;
 	}
 }
 
+static void index_calls(const struct history *h, struct call_tables *t)
+{
+	t->runs_by_id = text_table();
+	t->runs_by_key = text_table();
+	t->key_of_id = text_table();
+	for (guint i = 0; i < h->records->len; i++) {
+		const struct record *r = record_at(h, i);
+
+		if (r->type == RECORD_CALL)
+			g_hash_table_insert(t->key_of_id, r->id, r->key);
+		if (r->type != RECORD_RUN)
+			continue;
+		g_hash_table_add(t->runs_by_id, r->id);
+		g_hash_table_add(t->runs_by_key, r->key);
+	}
+}
+
 static void check_calls(struct history *h)
 {
-	GHashTable *runs = count_runs(h, 0);
+	struct call_tables t;
 
+	index_calls(h, &t);
 	for (guint i = 0; i < h->records->len; i++) {
 		const struct record *r = record_at(h, i);
 
 		if (r->type == RECORD_CALL)
-			check_call(h, r, runs);
+			check_call(h, r, &t);
 		else if (r->type == RECORD_RUN)
 			h->summary.runs++;
 	}
-	g_hash_table_destroy(runs);
+	g_hash_table_destroy(t.runs_by_id);
+	g_hash_table_destroy(t.runs_by_key);
+	g_hash_table_destroy(t.key_of_id);
 }
 
 static void check_at_most_once(struct history *h)
--- a/src/host.c
+++ b/src/host.c
@@ -11,6 +11,13 @@
 	return XXH64(key, sizeof(key), seed);
 }
 
+int host_differs(const struct host *a, const struct host *b)
+{
+	return host_is_up(a) != host_is_up(b) || a->serving != b->serving ||
+	       a->slots != b->slots || strcmp(a->service, b->service) != 0 ||
+	       strcmp(a->failure_domain, b->failure_domain) != 0;
+}
+
 const char *host_state_name(enum host_state state)
 {
 	switch (state) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -10,7 +10,7 @@
 #include <stddef.h>
 #include <uv.h>
 
-#define HTTP_MAX_BODY_BYTES (4 * 1024 * 1024)
+#define HTTP_MAX_BODY_BYTES ((size_t)4 << 20)
 
 struct http_server;
 
--- a/src/node.c
+++ b/src/node.c
@@ -41,15 +41,16 @@
 
 int node_is_ready(const struct node *node, const char **why)
 {
+	const struct floor *floor = bootstrap_floor(node->bootstrap);
+
 	*why = "";
 	if (node_is_draining(node))
 		*why = "the node is stopping";
-	else if (!bootstrap_is_confirmed(node->bootstrap))
+	else if (!floor->confirmed)
 		*why = "the node does not know the newest version yet";
 	else if (!node->snapshot)
 		*why = "no configuration is in force yet";
-	else if (distribution_version(node->distribution) <
-		 distribution_floor(node->distribution))
+	else if (!floor_allows(floor, snapshot_version(node->snapshot)))
 		*why = "the node has not reached the newest version yet";
 	return !**why;
 }
--- a/src/program.c
+++ b/src/program.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-void program_usage_error(const char *program, const char *message)
+_Noreturn void program_usage_error(const char *program, const char *message)
 {
 	fprintf(stderr, "%s: %s; see --help\n", program, message);
 	exit(EXIT_USAGE);
--- a/src/program.h
+++ b/src/program.h
@@ -23,6 +23,6 @@
 		   const char *usage, const char *summary);
 
 /* Print a usage error to standard error and exit with EXIT_USAGE. */
-void program_usage_error(const char *program, const char *message);
+_Noreturn void program_usage_error(const char *program, const char *message);
 
 #endif
--- a/src/router.c
+++ b/src/router.c
@@ -183,9 +183,12 @@
 	return candidates;
 }
 
-/* Keep only hosts of the own domain with room, when there are any. */
-static void prefer_own_domain(struct router *r, GArray *candidates,
-			      const char *own_domain, uint64_t now_ms)
+/*
+ * Keep only the hosts with room, of the given domain or of any when domain
+ * is NULL. Returns 0, and keeps all, when there are none.
+ */
+static int keep_roomy(struct router *r, GArray *candidates, const char *domain,
+		      uint64_t now_ms)
 {
 	guint kept = 0;
 
@@ -194,7 +197,7 @@
 			&g_array_index(candidates, struct candidate, i);
 		struct candidate swap;
 
-		if (strcmp(c->host->failure_domain, own_domain) ||
+		if ((domain && strcmp(c->host->failure_domain, domain)) ||
 		    !has_room(r, c, now_ms))
 			continue;
 		swap = g_array_index(candidates, struct candidate, kept);
@@ -204,16 +207,43 @@
 	}
 	if (kept)
 		g_array_set_size(candidates, kept);
+	return kept > 0;
 }
 
-static const struct candidate *random_candidate(struct router *r,
-						const GArray *candidates)
+static const struct candidate *candidate_at(const GArray *candidates, guint i)
 {
-	gint i = g_rand_int_range(r->random, 0, (gint)candidates->len);
-
 	return &g_array_index(candidates, struct candidate, i);
 }
 
+/* The cheaper of two different random candidates. */
+static const struct candidate *
+two_choices(struct router *r, const GArray *candidates, uint64_t now_ms)
+{
+	guint n = candidates->len;
+	guint i = (guint)g_rand_int_range(r->random, 0, (gint)n);
+	guint j;
+	const struct candidate *a = candidate_at(candidates, i), *b;
+
+	if (n == 1)
+		return a;
+	j = (i + (guint)g_rand_int_range(r->random, 1, (gint)n)) % n;
+	b = candidate_at(candidates, j);
+	return candidate_cost(r, b, now_ms) < candidate_cost(r, a, now_ms) ? b :
+									     a;
+}
+
+static const struct candidate *pick(struct router *r, GArray *candidates,
+				    const char *own_domain, uint64_t now_ms)
+{
+	if (r->settings.policy == ROUTER_RANDOM)
+		return candidate_at(candidates, (guint)g_rand_int_range(
+							r->random, 0,
+							(gint)candidates->len));
+	if (!keep_roomy(r, candidates, own_domain, now_ms))
+		keep_roomy(r, candidates, NULL, now_ms);
+	return two_choices(r, candidates, now_ms);
+}
+
 int router_choose(struct router *r, const struct snapshot *snapshot,
 		  struct service_handle service, const char *own_domain,
 		  const uint64_t *excluded, size_t excluded_count,
@@ -221,20 +251,12 @@
 {
 	GArray *candidates = find_candidates(r, snapshot, service, excluded,
 					     excluded_count, now_ms);
-	const struct candidate *a, *b;
 
 	if (!candidates->len) {
 		g_array_free(candidates, TRUE);
 		return FESCUE_ENOTFOUND;
 	}
-	if (r->settings.policy == ROUTER_TWO_CHOICES)
-		prefer_own_domain(r, candidates, own_domain, now_ms);
-	a = random_candidate(r, candidates);
-	b = random_candidate(r, candidates);
-	if (r->settings.policy == ROUTER_TWO_CHOICES &&
-	    candidate_cost(r, b, now_ms) < candidate_cost(r, a, now_ms))
-		a = b;
-	*host = a->host->host;
+	*host = pick(r, candidates, own_domain, now_ms)->host->host;
 	g_array_free(candidates, TRUE);
 	return FESCUE_OK;
 }
--- a/src/rules.c
+++ b/src/rules.c
@@ -1,24 +1,17 @@
 #include "fescue/rules.h"
 
 #include "fescue/error.h"
+#include "rules_field.h"
 
 #include <assert.h>
 #include <glib.h>
 #include <string.h>
 
-#define RULES_MAX_FIELDS 16
-
 struct rules {
 	GArray *services; /* struct service_rule */
 	GArray *routes;	  /* struct route_rule */
 };
 
-struct field {
-	const char *text;
-	uint32_t len;
-	uint32_t column;
-};
-
 struct parser {
 	struct rules *rules;
 	GHashTable *service_names; /* name -> line */
@@ -53,49 +46,6 @@
 	p->count++;
 }
 
-/* Printable copy of a field, cut so that it fits a diagnostic. */
-static const char *shown(const struct field *f, char *buf, size_t size)
-{
-	size_t len = MIN(f->len, size - 1);
-
-	memcpy(buf, f->text, len);
-	buf[len] = '\0';
-	return buf;
-}
-
-static int field_is(const struct field *f, const char *word)
-{
-	return f->len == strlen(word) && !memcmp(f->text, word, f->len);
-}
-
-static int field_parse_number(const struct field *f, uint32_t max,
-			      uint32_t *out)
-{
-	uint64_t value = 0;
-
-	if (!f->len || f->len > 9)
-		return FESCUE_EINVAL;
-	for (uint32_t i = 0; i < f->len; i++) {
-		if (!g_ascii_isdigit(f->text[i]))
-			return FESCUE_EINVAL;
-		value = value * 10 + (uint64_t)(f->text[i] - '0');
-	}
-	if (value > max)
-		return FESCUE_EINVAL;
-	*out = (uint32_t)value;
-	return FESCUE_OK;
-}
-
-static int field_is_name(const struct field *f)
-{
-	if (!f->len || f->len > RULES_NAME_MAX_BYTES)
-		return 0;
-	for (uint32_t i = 0; i < f->len; i++)
-		if (!g_ascii_isalnum(f->text[i]) && f->text[i] != '-')
-			return 0;
-	return 1;
-}
-
 static int parse_name(struct parser *p, const struct field *f, char *out)
 {
 	char buf[40];
@@ -104,7 +54,7 @@
 		complain(p, f->column,
 			 "use 1 to 63 letters, digits and hyphens",
 			 "'%s' is not a service name",
-			 shown(f, buf, sizeof(buf)));
+			 field_show(f, buf, sizeof(buf)));
 		return FESCUE_EINVAL;
 	}
 	memcpy(out, f->text, f->len);
@@ -121,7 +71,8 @@
 
 	if (!equals) {
 		complain(p, f->column, "write options as key=value",
-			 "'%s' is not an option", shown(f, buf, sizeof(buf)));
+			 "'%s' is not an option",
+			 field_show(f, buf, sizeof(buf)));
 		return 0;
 	}
 	key->text = f->text;
@@ -147,8 +98,8 @@
 	g_snprintf(remedy, sizeof(remedy), "give a whole number from %u to %u",
 		   min, max);
 	complain(p, value->column, remedy, "%s has the bad value '%s'",
-		 shown(key, name, sizeof(name)),
-		 shown(value, buf, sizeof(buf)));
+		 field_show(key, name, sizeof(name)),
+		 field_show(value, buf, sizeof(buf)));
 }
 
 static void parse_choice_option(struct parser *p, const struct field *key,
@@ -165,8 +116,8 @@
 		g_snprintf(remedy, sizeof(remedy), "give %s or %s", first,
 			   second);
 		complain(p, value->column, remedy, "%s has the bad value '%s'",
-			 shown(key, name, sizeof(name)),
-			 shown(value, buf, sizeof(buf)));
+			 field_show(key, name, sizeof(name)),
+			 field_show(value, buf, sizeof(buf)));
 	}
 }
 
@@ -176,7 +127,7 @@
 	char buf[40];
 
 	complain(p, key->column, allowed, "unknown option '%s'",
-		 shown(key, buf, sizeof(buf)));
+		 field_show(key, buf, sizeof(buf)));
 }
 
 /* Complain when an option stands twice on a line. */
@@ -191,7 +142,7 @@
 		    !memcmp(fields[j].text, key->text, key->len)) {
 			complain(p, key->column, "give each option once",
 				 "option '%s' stands twice",
-				 shown(key, buf, sizeof(buf)));
+				 field_show(key, buf, sizeof(buf)));
 			return 1;
 		}
 	}
@@ -294,7 +245,7 @@
 			complain(p, fields[1].column,
 				 "use an upper-case method such as GET, or *",
 				 "'%s' is not a method",
-				 shown(&fields[1], buf, sizeof(buf)));
+				 field_show(&fields[1], buf, sizeof(buf)));
 			return FESCUE_EINVAL;
 		}
 	}
@@ -303,7 +254,7 @@
 		complain(p, fields[2].column,
 			 "write HOST/PREFIX, with * for any host",
 			 "'%s' is not a host and path prefix",
-			 shown(&fields[2], buf, sizeof(buf)));
+			 field_show(&fields[2], buf, sizeof(buf)));
 		return FESCUE_EINVAL;
 	}
 	return FESCUE_OK;
@@ -382,30 +333,6 @@
 	return 1;
 }
 
-static size_t split_fields(const char *text, size_t len, struct field *fields)
-{
-	size_t n = 0, i = 0;
-
-	while (i < len) {
-		size_t start;
-
-		while (i < len && (text[i] == ' ' || text[i] == '\t'))
-			i++;
-		start = i;
-		while (i < len && text[i] != ' ' && text[i] != '\t')
-			i++;
-		if (i == start)
-			break;
-		if (n < RULES_MAX_FIELDS) {
-			fields[n].text = text + start;
-			fields[n].len = (uint32_t)(i - start);
-			fields[n].column = (uint32_t)start + 1;
-		}
-		n++;
-	}
-	return n;
-}
-
 static int comment_is_blank(const char *comment, const char *end)
 {
 	for (const char *c = comment + 1; c < end; c++)
@@ -419,7 +346,7 @@
 	const char *comment = memchr(text, '#', len);
 	size_t rule_len = comment ? (size_t)(comment - text) : len;
 	struct field fields[RULES_MAX_FIELDS];
-	size_t n = split_fields(text, rule_len, fields);
+	size_t n = field_split(text, rule_len, fields);
 	char buf[40];
 
 	if (!n)
@@ -443,7 +370,7 @@
 		complain(p, fields[0].column,
 			 "begin the line with service, route or #",
 			 "unknown rule '%s'",
-			 shown(&fields[0], buf, sizeof(buf)));
+			 field_show(&fields[0], buf, sizeof(buf)));
 }
 
 static void parse_line(struct parser *p, const char *text, size_t len)
--- a/src/transport.h
+++ b/src/transport.h
@@ -10,7 +10,7 @@
 
 #include <uv.h>
 
-#define TRANSPORT_MAX_FRAME_BYTES (8 * 1024 * 1024)
+#define TRANSPORT_MAX_FRAME_BYTES ((size_t)8 << 20)
 #define TRANSPORT_MAX_DATAGRAM_BYTES 1200
 
 struct transport;
--- /dev/null
+++ b/src/version_text.c
@@ -0,0 +1,114 @@
+#include "version_text.h"
+
+#include "fescue/delta.h"
+#include "fescue/error.h"
+#include "fescue/snapshot.h"
+#include "packet.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define DELTA_SHARE_PERCENT 50 /* a longer difference is sent whole */
+
+struct version_text version_text_copy(uint64_t version, const char *bytes,
+				      size_t size)
+{
+	struct version_text text = {version, config_hash(bytes, size),
+				    g_malloc(size + 1), size};
+
+	memcpy(text.bytes, bytes, size);
+	text.bytes[size] = '\0';
+	return text;
+}
+
+void version_text_clear(struct version_text *text)
+{
+	g_free(text->bytes);
+	memset(text, 0, sizeof(*text));
+}
+
+void version_history_push(struct version_history *history,
+			  struct version_text *text)
+{
+	struct version_text *texts = history->texts;
+
+	assert(text->version > texts[0].version);
+	version_text_clear(&texts[VERSION_HISTORY_TEXTS - 1]);
+	memmove(&texts[1], &texts[0],
+		(VERSION_HISTORY_TEXTS - 1) * sizeof(*texts));
+	texts[0] = *text;
+	memset(text, 0, sizeof(*text));
+}
+
+void version_history_clear(struct version_history *history)
+{
+	for (size_t i = 0; i < VERSION_HISTORY_TEXTS; i++)
+		version_text_clear(&history->texts[i]);
+}
+
+const struct version_text *
+version_history_find(const struct version_history *history, uint64_t version,
+		     uint64_t hash)
+{
+	for (size_t i = 0; version && i < VERSION_HISTORY_TEXTS; i++)
+		if (history->texts[i].version == version &&
+		    history->texts[i].hash == hash)
+			return &history->texts[i];
+	return NULL;
+}
+
+void version_text_encode(const struct version_text *text,
+			 const struct version_text *base,
+			 Fescue__ConfigPush *push)
+{
+	struct delta delta;
+
+	if (base) {
+		delta = delta_compute(base->bytes, base->size, text->bytes,
+				      text->size);
+		if (delta.middle_bytes <
+		    text->size * DELTA_SHARE_PERCENT / 100) {
+			push->base_version = base->version;
+			push->base_hash = base->hash;
+			push->prefix_bytes = delta.prefix_bytes;
+			push->suffix_bytes = delta.suffix_bytes;
+			packet_set_bytes(&push->body, delta.middle,
+					 delta.middle_bytes);
+			return;
+		}
+	}
+	packet_set_bytes(&push->body, text->bytes, text->size);
+}
+
+static int apply_difference(const struct version_history *history,
+			    const Fescue__ConfigPush *push,
+			    struct version_text *out)
+{
+	const struct version_text *base = version_history_find(
+		history, push->base_version, push->base_hash);
+	struct delta delta = {push->prefix_bytes, push->suffix_bytes,
+			      (const char *)push->body.data, push->body.len};
+
+	if (!base || delta_apply(base->bytes, base->size, &delta, &out->bytes,
+				 &out->size))
+		return FESCUE_EMISMATCH;
+	out->version = push->version;
+	out->hash = config_hash(out->bytes, out->size);
+	return FESCUE_OK;
+}
+
+int version_text_decode(const struct version_history *history,
+			const Fescue__ConfigPush *push,
+			struct version_text *out)
+{
+	if (!push->base_version)
+		*out = version_text_copy(push->version,
+					 (const char *)push->body.data,
+					 push->body.len);
+	else if (apply_difference(history, push, out))
+		return FESCUE_EMISMATCH;
+	if (out->hash == push->hash)
+		return FESCUE_OK;
+	version_text_clear(out);
+	return FESCUE_EMISMATCH;
+}
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -5,6 +5,7 @@
 #include "fescue/error.h"
 #include "http_server.h"
 #include "program.h"
+#include "store_call.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -13,23 +14,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define VALUE_MAX_BYTES 1000000
 #define SWEEP_MS 100
 #define ANSWER_MS 1
 
 enum outage { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_HANG };
 
-enum call_type {
-	CALL_GET,
-	CALL_LIST,
-	CALL_PUT,
-	CALL_DELETE,
-	CALL_WATCH,
-	CALL_LEASE_GRANT,
-	CALL_LEASE_RENEW,
-	CALL_BAD,
-};
-
 struct entry {
 	char *value;
 	size_t size;
@@ -42,22 +31,6 @@
 	uint64_t expires_ms;
 };
 
-/* One call between its arrival and its answer. */
-struct call {
-	struct store *store;
-	struct http_exchange *exchange; /* NULL when the client left */
-	enum call_type type;
-	char *key;	 /* or prefix */
-	uint64_t number; /* expected revision, watch base, lease or ttl */
-	uint64_t lease;
-	uint64_t timeout_ms;
-	int revision_only;
-	char *value;
-	size_t size;
-	uv_timer_t timer;
-	int waiting; /* in the list of watches */
-};
-
 struct store {
 	uv_loop_t *loop;
 	GTree *entries;	    /* key -> struct entry */
@@ -337,95 +310,6 @@
 		call_end(c);
 }
 
-static uint64_t query_number(const struct http_exchange *exchange,
-			     const char *name, uint64_t fallback)
-{
-	char *text = http_exchange_query(exchange, name);
-	uint64_t number = text ? g_ascii_strtoull(text, NULL, 10) : fallback;
-
-	g_free(text);
-	return number;
-}
-
-static char *path_after(const struct http_exchange *exchange,
-			const char *prefix)
-{
-	struct http_text path = http_exchange_path(exchange);
-	const char *query = memchr(path.bytes, '?', path.size);
-	size_t len = query ? (size_t)(query - path.bytes) : path.size;
-
-	if (len < strlen(prefix) || memcmp(path.bytes, prefix, strlen(prefix)))
-		return NULL;
-	return g_strndup(path.bytes + strlen(prefix), len - strlen(prefix));
-}
-
-static int method_is(const struct http_exchange *exchange, const char *method)
-{
-	struct http_text text = http_exchange_method(exchange);
-
-	return text.size == strlen(method) &&
-	       !memcmp(text.bytes, method, text.size);
-}
-
-static void parse_put(struct call *c)
-{
-	struct http_text body = http_exchange_body(c->exchange);
-
-	if (body.size > VALUE_MAX_BYTES) {
-		c->type = CALL_BAD;
-		return;
-	}
-	c->value = g_memdup2(body.bytes, body.size);
-	c->size = body.size;
-}
-
-static void parse_key_call(struct call *c)
-{
-	struct http_exchange *x = c->exchange;
-
-	c->number = query_number(x, "if_revision", 0);
-	c->lease = query_number(x, "lease", 0);
-	c->revision_only = (int)query_number(x, "revision_only", 0);
-	if (method_is(x, "GET")) {
-		c->type = CALL_GET;
-	} else if (method_is(x, "PUT")) {
-		c->type = CALL_PUT;
-		parse_put(c);
-	} else if (method_is(x, "DELETE")) {
-		c->type = CALL_DELETE;
-	}
-}
-
-static void parse_call(struct call *c)
-{
-	struct http_exchange *x = c->exchange;
-
-	c->type = CALL_BAD;
-	if ((c->key = path_after(x, "/v1/keys/"))) {
-		parse_key_call(c);
-	} else if (http_exchange_path_is(x, "/v1/keys")) {
-		c->type = CALL_LIST;
-		c->key = http_exchange_query(x, "prefix");
-		if (!c->key)
-			c->key = g_strdup("");
-	} else if ((c->key = path_after(x, "/v1/watch/"))) {
-		c->type = CALL_WATCH;
-		c->number = query_number(x, "after", 0);
-		c->timeout_ms = query_number(x, "timeout_ms", 30000);
-	} else if (http_exchange_path_is(x, "/v1/leases")) {
-		c->type = CALL_LEASE_GRANT;
-		c->number = query_number(x, "ttl_ms", 10000);
-	} else if ((c->key = path_after(x, "/v1/leases/"))) {
-		c->type = CALL_LEASE_RENEW;
-		c->number = g_ascii_strtoull(c->key, NULL, 10);
-	}
-}
-
-static int is_write(enum call_type type)
-{
-	return type != CALL_GET && type != CALL_LIST && type != CALL_WATCH;
-}
-
 /* Count a call; returns 0 when the rate cap refuses it. */
 static int count_call(struct store *s, enum call_type type)
 {
@@ -436,7 +320,7 @@
 		s->reads_now = 0;
 		s->writes_now = 0;
 	}
-	if (is_write(type)) {
+	if (store_call_is_write(type)) {
 		s->writes++;
 		s->writes_now++;
 	} else {
@@ -458,7 +342,7 @@
 	c->exchange = exchange;
 	uv_timer_init(s->loop, &c->timer);
 	c->timer.data = c;
-	parse_call(c);
+	store_call_parse(c);
 	if (!count_call(s, c->type) || s->outage == OUTAGE_REFUSE) {
 		s->refused++;
 		reply_error(c, s->outage ? 503 : 429, "refused", 0);
--- /dev/null
+++ b/test/test_admission.cc
@@ -0,0 +1,198 @@
+#include "support.h"
+
+extern "C" {
+#include "fescue/admission.h"
+#include "fescue/error.h"
+}
+
+#include <map>
+
+namespace
+{
+
+struct fixture {
+	struct admission *a;
+	enum admission_reason reason;
+
+	explicit fixture(uint32_t slots,
+			 enum admission_policy policy = ADMISSION_CLASSES)
+	{
+		a = admission_create(policy);
+		admission_set_slots(a, slots);
+	}
+	~fixture()
+	{
+		admission_destroy(a);
+	}
+	enum admission_verdict offer(uint64_t ticket, enum call_class c,
+				     uint64_t now = 0, uint64_t deadline = 1000,
+				     uint32_t queue = 2)
+	{
+		struct admission_call call = {ticket, c, deadline, queue, 50};
+
+		return admission_offer(a, &call, now, &reason);
+	}
+};
+
+TEST(admission, background_leaves_the_reserve)
+{
+	fixture f(4);
+
+	EXPECT_EQ(f.offer(1, CALL_CLASS_BACKGROUND), ADMISSION_RUN);
+	EXPECT_EQ(f.offer(2, CALL_CLASS_BACKGROUND), ADMISSION_RUN);
+	EXPECT_EQ(f.offer(3, CALL_CLASS_BACKGROUND), ADMISSION_QUEUED);
+	EXPECT_EQ(f.offer(4, CALL_CLASS_URGENT), ADMISSION_RUN);
+	EXPECT_EQ(f.offer(5, CALL_CLASS_URGENT), ADMISSION_RUN);
+	EXPECT_EQ(f.offer(6, CALL_CLASS_URGENT), ADMISSION_QUEUED);
+	EXPECT_EQ(admission_in_use(f.a), 4u);
+}
+
+TEST(admission, urgent_goes_first)
+{
+	fixture f(1);
+	uint64_t ticket;
+
+	f.offer(1, CALL_CLASS_URGENT);
+	f.offer(2, CALL_CLASS_BACKGROUND);
+	f.offer(3, CALL_CLASS_URGENT);
+	admission_finish(f.a, 1000);
+	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
+	EXPECT_EQ(ticket, 3u);
+	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_QUEUED);
+	admission_finish(f.a, 1000);
+	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
+	EXPECT_EQ(ticket, 2u);
+}
+
+TEST(admission, queue_is_bounded)
+{
+	fixture f(1);
+
+	f.offer(1, CALL_CLASS_URGENT);
+	f.offer(2, CALL_CLASS_URGENT);
+	f.offer(3, CALL_CLASS_URGENT);
+	EXPECT_EQ(f.offer(4, CALL_CLASS_URGENT), ADMISSION_REFUSED);
+	EXPECT_EQ(f.reason, ADMISSION_QUEUE_FULL);
+}
+
+TEST(admission, hopeless_deadline_is_refused_at_once)
+{
+	fixture f(1);
+
+	f.offer(1, CALL_CLASS_URGENT);
+	admission_finish(f.a, 100000);
+	f.offer(2, CALL_CLASS_URGENT);
+	EXPECT_EQ(f.offer(3, CALL_CLASS_URGENT, 0, 150), ADMISSION_REFUSED);
+	EXPECT_EQ(f.reason, ADMISSION_DEADLINE);
+	EXPECT_EQ(f.offer(4, CALL_CLASS_URGENT, 0, 500), ADMISSION_QUEUED);
+	EXPECT_EQ(f.offer(5, CALL_CLASS_URGENT, 10, 10), ADMISSION_REFUSED);
+}
+
+TEST(admission, expired_call_is_handed_back)
+{
+	fixture f(1);
+	uint64_t ticket;
+
+	f.offer(1, CALL_CLASS_URGENT);
+	f.offer(2, CALL_CLASS_URGENT, 0, 50);
+	EXPECT_EQ(admission_next(f.a, 60, &ticket), ADMISSION_REFUSED);
+	EXPECT_EQ(ticket, 2u);
+	EXPECT_EQ(admission_next(f.a, 60, &ticket), ADMISSION_QUEUED);
+}
+
+TEST(admission, draining_and_missing_backend_refuse)
+{
+	fixture f(1);
+
+	admission_set_draining(f.a, 1);
+	EXPECT_EQ(f.offer(1, CALL_CLASS_URGENT), ADMISSION_REFUSED);
+	EXPECT_EQ(f.reason, ADMISSION_DRAINING);
+	admission_set_draining(f.a, 0);
+	admission_set_slots(f.a, 0);
+	EXPECT_EQ(f.offer(1, CALL_CLASS_URGENT), ADMISSION_REFUSED);
+	EXPECT_EQ(f.reason, ADMISSION_NO_BACKEND);
+}
+
+TEST(admission, waiting_background_is_not_starved)
+{
+	fixture f(1);
+	uint64_t ticket = 0;
+	int background = 0;
+
+	f.offer(1, CALL_CLASS_URGENT);
+	for (uint64_t i = 0; i < 200; i++) {
+		f.offer(1000 + i, CALL_CLASS_BACKGROUND, 0, 1000, 1);
+		f.offer(2000 + i, CALL_CLASS_URGENT, 0, 1000, 2);
+		admission_finish(f.a, 1);
+		ASSERT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
+		background += ticket < 2000;
+	}
+	EXPECT_GE(background, 15);
+	EXPECT_LE(background, 25);
+}
+
+TEST(admission, cancel)
+{
+	fixture f(1);
+	uint64_t ticket;
+
+	f.offer(1, CALL_CLASS_URGENT);
+	f.offer(2, CALL_CLASS_URGENT);
+	EXPECT_EQ(admission_cancel(f.a, 2), FESCUE_OK);
+	EXPECT_EQ(admission_cancel(f.a, 2), FESCUE_ENOTFOUND);
+	admission_finish(f.a, 1);
+	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_QUEUED);
+}
+
+/* Random events: slots are never overcommitted, no ticket is lost. */
+TEST(admission, random_events_bound_work)
+{
+	GRand *random = g_rand_new_with_seed(21);
+	fixture f(5);
+	std::map<uint64_t, bool> queued;
+	uint64_t now = 0, ticket = 0, next;
+	uint32_t running = 0;
+
+	for (int i = 0; i < 100000; i++) {
+		enum call_class c = g_rand_boolean(random) ?
+					    CALL_CLASS_URGENT :
+					    CALL_CLASS_BACKGROUND;
+		enum admission_verdict v;
+
+		now += g_rand_int_range(random, 0, 3);
+		switch (g_rand_int_range(random, 0, 3)) {
+		case 0:
+			v = f.offer(++ticket, c, now,
+				    now + g_rand_int_range(random, 1, 200), 8);
+			running += v == ADMISSION_RUN;
+			if (v == ADMISSION_QUEUED)
+				queued[ticket] = true;
+			break;
+		case 1:
+			if (running) {
+				admission_finish(f.a, 10000);
+				running--;
+			}
+			break;
+		default:
+			if (!queued.empty() && g_rand_boolean(random)) {
+				next = queued.begin()->first;
+				EXPECT_EQ(admission_cancel(f.a, next),
+					  FESCUE_OK);
+				queued.erase(next);
+			}
+		}
+		while ((v = admission_next(f.a, now, &next)) !=
+		       ADMISSION_QUEUED) {
+			EXPECT_EQ(queued.erase(next), 1u);
+			running += v == ADMISSION_RUN;
+		}
+		ASSERT_LE(running, 5u);
+		ASSERT_EQ(admission_in_use(f.a), running);
+		ASSERT_EQ(admission_queued(f.a), queued.size());
+		ASSERT_LE(queued.size(), 16u);
+	}
+	g_rand_free(random);
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_router.cc
@@ -0,0 +1,198 @@
+#include "support.h"
+
+extern "C" {
+#include "fescue/error.h"
+#include "fescue/router.h"
+}
+
+#include <map>
+
+namespace
+{
+
+const char text[] = "service a # A\nroute GET */ a # A\n";
+
+struct fixture {
+	struct snapshot *snapshot;
+	struct service_handle service;
+	struct router *router;
+
+	explicit fixture(const std::vector<snapshot_host> &hosts,
+			 enum router_policy policy = ROUTER_TWO_CHOICES)
+	{
+		struct router_settings settings = router_defaults;
+		struct diagnostic bad;
+		struct route_handle route;
+		const struct route_rule *rule;
+		size_t count;
+
+		settings.policy = policy;
+		snapshot_create(1, text, strlen(text), hosts.data(),
+				hosts.size(), &snapshot, &bad, 1, &count);
+		snapshot_find_route(snapshot, "GET", 3, "", 0, "/", 1, &route,
+				    &rule);
+		service = snapshot_route_service(snapshot, route);
+		router = router_create(&settings, 3);
+	}
+	~fixture()
+	{
+		router_destroy(router);
+		snapshot_unref(snapshot);
+	}
+	uint64_t choose(const char *domain, uint64_t now_ms,
+			const std::vector<uint64_t> &excluded = {})
+	{
+		uint64_t host = 0;
+
+		if (router_choose(router, snapshot, service, domain,
+				  excluded.data(), excluded.size(), now_ms,
+				  &host))
+			return 0;
+		return host;
+	}
+	void fail(uint64_t host, uint64_t now_ms)
+	{
+		router_started(router, host, now_ms);
+		router_finished(router, host, ROUTER_FAILED, 1, nullptr,
+				now_ms);
+	}
+};
+
+TEST(router, own_domain_first_while_it_has_room)
+{
+	fixture f({{1, "a", "x", 2}, {2, "a", "y", 2}});
+
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1000), 1u);
+	router_started(f.router, 1, 1000);
+	router_started(f.router, 1, 1000);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1000), 2u);
+}
+
+TEST(router, reported_load_ages)
+{
+	fixture f({{1, "a", "x", 2}, {2, "a", "y", 2}});
+	struct router_load full = {2, 4, 2};
+
+	router_started(f.router, 1, 1000);
+	router_finished(f.router, 1, ROUTER_REFUSED, 1, &full, 1000);
+	EXPECT_EQ(f.choose("x", 1001), 2u);
+	EXPECT_EQ(f.choose("x", 9000), 1u);
+}
+
+TEST(router, excluded_hosts_are_not_chosen)
+{
+	fixture f({{1, "a", "x", 2}, {2, "a", "x", 2}});
+
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1000, {1}), 2u);
+	EXPECT_EQ(f.choose("x", 1000, {1, 2}), 0u);
+}
+
+TEST(router, failing_host_is_ejected_and_returns)
+{
+	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}});
+
+	for (int i = 0; i < 3; i++)
+		f.fail(1, 1000);
+	EXPECT_TRUE(router_is_ejected(f.router, 1, 1000));
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1100), 2u);
+	EXPECT_FALSE(router_is_ejected(f.router, 1, 2000));
+	for (int i = 0; i < 3; i++)
+		f.fail(1, 2000);
+	/* Twice as long the second time in a row. */
+	EXPECT_TRUE(router_is_ejected(f.router, 1, 3900));
+	EXPECT_FALSE(router_is_ejected(f.router, 1, 4000));
+}
+
+TEST(router, never_ejects_most_hosts)
+{
+	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}, {3, "a", "x", 9}});
+	std::map<uint64_t, int> chosen;
+
+	for (uint64_t host : {1, 2})
+		for (int i = 0; i < 3; i++)
+			f.fail(host, 1000);
+	for (int i = 0; i < 300; i++)
+		chosen[f.choose("x", 1001)]++;
+	EXPECT_GT(chosen[1], 0);
+	EXPECT_GT(chosen[2], 0);
+	EXPECT_GT(chosen[3], 0);
+}
+
+TEST(router, slow_host_gets_less)
+{
+	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}});
+	std::map<uint64_t, int> chosen;
+
+	for (int i = 0; i < 20; i++)
+		for (uint64_t host : {1, 2}) {
+			router_started(f.router, host, 1000);
+			router_finished(f.router, host, ROUTER_ANSWERED,
+					host == 1 ? 50000 : 5000, nullptr,
+					1000);
+		}
+	for (int i = 0; i < 400; i++)
+		chosen[f.choose("x", 1000)]++;
+	EXPECT_LT(chosen[1], chosen[2] / 2);
+}
+
+TEST(router, new_host_starts_slowly)
+{
+	fixture f({{1, "a", "x", 10}});
+
+	f.choose("x", 1000); /* the first hosts seen are not cold */
+	snapshot_host both[] = {{1, "a", "x", 10}, {2, "a", "x", 10}};
+	struct snapshot *next = snapshot_with_hosts(f.snapshot, both, 2);
+	snapshot_unref(f.snapshot);
+	f.snapshot = next;
+	std::map<uint64_t, int> early, late;
+	for (int i = 0; i < 400; i++)
+		early[f.choose("x", 1001)]++;
+	for (int i = 0; i < 400; i++)
+		late[f.choose("x", 9000)]++;
+	EXPECT_LT(early[2], early[1] / 2);
+	EXPECT_GT(late[2], late[1] / 2);
+}
+
+/* Random events: calls are counted exactly, and a choice is always found
+ * while a host is left.
+ */
+TEST(router, random_events_keep_counts)
+{
+	fixture f({{1, "a", "x", 3}, {2, "a", "y", 3}, {3, "a", "z", 3}});
+	GRand *random = g_rand_new_with_seed(8);
+	std::vector<uint64_t> running;
+	uint64_t now = 1000;
+
+	for (int i = 0; i < 50000; i++) {
+		now += g_rand_int_range(random, 0, 20);
+		if (running.empty() || g_rand_boolean(random)) {
+			uint64_t host = f.choose("x", now);
+
+			ASSERT_NE(host, 0u);
+			router_started(f.router, host, now);
+			running.push_back(host);
+		} else {
+			size_t at = g_rand_int_range(random, 0, running.size());
+			struct router_load load = {1, 0, 3};
+
+			router_finished(f.router, running[at],
+					(enum router_result)g_rand_int_range(
+						random, 0, 4),
+					100, &load, now);
+			running.erase(running.begin() + at);
+		}
+		if (i % 100 == 0)
+			router_expire(f.router, now, 5);
+	}
+	size_t total = 0;
+	for (uint64_t host : {1, 2, 3})
+		total += router_outstanding(f.router, host);
+	EXPECT_EQ(total, running.size());
+	g_rand_free(random);
+}
+
+} // namespace
--- /dev/null
+++ b/test/test_settings.cc
@@ -0,0 +1,91 @@
+#include "support.h"
+
+extern "C" {
+#include "fescue/address.h"
+#include "fescue/error.h"
+#include "node_settings.h"
+}
+
+namespace
+{
+
+std::string read(const std::string &text)
+{
+	char path[] = "/tmp/fescue-settings-XXXXXX";
+	int fd = mkstemp(path);
+	struct node_settings settings;
+	char message[SETTINGS_ERROR_BYTES] = "";
+
+	EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+	close(fd);
+	if (!node_settings_read(path, &settings, message))
+		strcpy(message, "good");
+	unlink(path);
+	return message;
+}
+
+const char good[] = "{\"address\": \"127.0.0.1\", \"peer_port\": 1, "
+		    "\"caller_port\": 2, \"operator_port\": 3, "
+		    "\"failure_domain\": \"d\", \"store\": \"127.0.0.1:4\"";
+
+void expect_message(const std::string &text, const std::string &part)
+{
+	std::string message = read(text);
+
+	EXPECT_NE(message.find(part), std::string::npos) << message;
+}
+
+TEST(settings, good)
+{
+	EXPECT_EQ(read(std::string(good) + "}"), "good");
+	EXPECT_EQ(read(std::string(good) + ", \"distribution\": \"poll\"}"),
+		  "good");
+}
+
+TEST(settings, errors_name_key_expectation_and_remedy)
+{
+	std::string base(good);
+
+	expect_message(base + ", \"colour\": 1}", "key 'colour' is unknown");
+	expect_message(base + ", \"fan_out\": \"x\"}",
+		       "key 'fan_out': expected a whole number from 1 to 64");
+	expect_message(base + ", \"fan_out\": 65}", "from 1 to 64");
+	expect_message(base + ", \"distribution\": \"radio\"}",
+		       "expected one of relay, gossip, poll");
+	expect_message(base + ", \"operator_address\": \"x\"}", "IPv4");
+	expect_message("{\"address\": \"127.0.0.1\"}", "is missing; add it");
+	expect_message(base + ", \"fan_out\": 2, \"fan_out\": 2}",
+		       "correct the JSON");
+	expect_message("{\n\"address\" 1}", ":2:");
+	expect_message("[]", "expected a JSON object");
+	expect_message("", "correct the JSON");
+}
+
+TEST(settings, missing_file)
+{
+	struct node_settings settings;
+	char message[SETTINGS_ERROR_BYTES];
+
+	EXPECT_EQ(node_settings_read("/nonexistent/x", &settings, message),
+		  FESCUE_EIO);
+	EXPECT_NE(std::string(message).find("check the path"),
+		  std::string::npos);
+}
+
+TEST(address, parse_and_format)
+{
+	struct address a;
+	char text[ADDRESS_TEXT_BYTES];
+
+	ASSERT_EQ(address_parse("127.0.10.3:8000", &a), FESCUE_OK);
+	EXPECT_STREQ(address_format(a, text), "127.0.10.3:8000");
+	EXPECT_EQ(address_key(address_from_key(address_key(a))),
+		  address_key(a));
+	for (const char *bad :
+	     {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+	      "127.0.0.1:65536", "127.0.0.1:1x", "127.0.0.256:1", "a:1",
+	      "127.0.0.1:-1"})
+		EXPECT_EQ(address_parse(bad, &a), FESCUE_EINVAL) << bad;
+}
+
+} // namespace
