--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -92,8 +92,19 @@
 /* Has at least one whole table been received from a peer? */
 int membership_is_synced(const struct membership *membership);
 
-/* Forget that a table was received, as after a freeze. */
-void membership_reset_sync(struct membership *membership);
+/* Tell peers whether this node knows its version floor. */
+void membership_set_confirmed(struct membership *membership, int confirmed);
+
+/*
+ * Has every known host that did not leave said itself, since the own start
+ * or last freeze, that it knows its floor? A dead host cannot. Whatever
+ * version this node once had in force, one of them then holds it.
+ */
+int membership_peers_vouch(const struct membership *membership);
+
+/* Probe up to max of the hosts that have not vouched yet. */
+void membership_ask_peers(struct membership *membership, uint32_t max,
+			  struct outbox *outbox);
 
 /* Abort when the digest or the host counts do not match the table. */
 void membership_assert_valid(const struct membership *membership);
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -120,10 +120,14 @@
   uint32_t table_digest;
   size_t n_updates;
   Fescue__Member **updates;
+  /*
+   * the sender knows its version floor
+   */
+  protobuf_c_boolean confirmed;
 };
 #define FESCUE__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__gossip__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL }
+    , NULL, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Fescue__Ping
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -12,6 +12,8 @@
 #define RENDEZVOUS_RENEW_MS 3000
 #define RETRY_MIN_MS 250
 #define RETRY_MAX_MS 5000
+#define ASK_PEERS_MS 1000
+#define ASK_PEERS_MAX 32      /* a second: within the control budget */
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
 
@@ -27,6 +29,7 @@
 	GRand *random;
 	enum boot_phase phase;
 	uint64_t attempt_at_ms;
+	uint64_t ask_at_ms; /* for peers to vouch, while unconfirmed */
 	uint32_t retry_ms;
 	struct floor floor;
 	uint64_t role_at_ms; /* no relay role before peers could answer */
@@ -125,9 +128,17 @@
 /* While the store is out, peers that were heard for a while know the floor. */
 static void confirm_by_peers(struct bootstrap *b, uint64_t now_ms)
 {
-	const struct membership *membership = b->node->membership;
-
-	if (!floor_confirm_by_peers(&b->floor, membership_is_synced(membership),
+	struct membership *membership = b->node->membership;
+	int vouched = membership_is_synced(membership) &&
+		      membership_peers_vouch(membership);
+
+	membership_set_confirmed(membership, b->floor.confirmed);
+	if (!b->floor.confirmed && now_ms >= b->ask_at_ms) {
+		membership_ask_peers(membership, ASK_PEERS_MAX,
+				     &b->node->outbox);
+		b->ask_at_ms = now_ms + ASK_PEERS_MS;
+	}
+	if (!floor_confirm_by_peers(&b->floor, vouched,
 				    membership_highest_version(membership),
 				    now_ms))
 		return;
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -17,6 +17,7 @@
 	.backup_delay_ms = 300,
 	.fetch_timeout_ms = 500,
 	.deltas = 1,
+	.witness = 1,
 };
 
 /* A push that its receiver has not acknowledged. */
@@ -208,7 +209,8 @@
 
 static int needs_witness(const struct distribution *d)
 {
-	return d->settings.mode == DISTRIBUTION_RELAY && !is_alone(d);
+	return d->settings.witness && d->settings.mode == DISTRIBUTION_RELAY &&
+	       !is_alone(d);
 }
 
 static void commit_staged(struct distribution *d)
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -15,6 +15,7 @@
 	struct host host;
 	uint32_t transmits; /* times the record was passed on */
 	int queued;	    /* in the update queue */
+	int vouches; /* said itself, since the last reset, that it is confirmed */
 	uint64_t state_since_ms;
 };
 
--- a/src/membership.c
+++ b/src/membership.c
@@ -33,6 +33,7 @@
 	GRand *random;
 	struct member_table table;
 	uint64_t hash; /* of the configuration in force */
+	int confirmed;
 	uint64_t last_tick_ms;
 	uint64_t last_contact_ms;
 	uint64_t highest_version;
@@ -59,6 +60,7 @@
 	gossip->self = member_record_create(own);
 	gossip->version = own->version;
 	gossip->hash = m->hash;
+	gossip->confirmed = m->confirmed;
 	gossip->table_digest = member_table_digest(&m->table);
 	member_table_add_updates(&m->table, to, m->settings.updates_per_packet,
 				 gossip);
@@ -120,8 +122,11 @@
 	for (size_t i = 0; i < gossip->n_updates; i++)
 		member_table_merge(&m->table, gossip->updates[i]);
 	member = member_table_find(&m->table, from);
-	if (member && gossip->version > member->host.version)
-		member->host.version = gossip->version;
+	if (member) {
+		member->vouches = gossip->confirmed;
+		member->host.version =
+			MAX(member->host.version, gossip->version);
+	}
 	m->highest_version = MAX(m->highest_version, gossip->version);
 	if (sync_is_due(m, gossip->table_digest))
 		send_sync_request(m, from, outbox);
@@ -359,6 +364,7 @@
 		struct member *member = g_ptr_array_index(m->table.members, i);
 
 		member->state_since_ms = m->table.now_ms;
+		member->vouches = 0;
 	}
 	member_table_raise_own(&m->table, 0);
 }
@@ -515,9 +521,36 @@
 	return m->synced;
 }
 
-void membership_reset_sync(struct membership *m)
+void membership_set_confirmed(struct membership *m, int confirmed)
 {
-	m->synced = 0;
+	m->confirmed = confirmed;
+}
+
+/* A host that left told its version to others before it went. */
+static int must_vouch(const struct member *member)
+{
+	return !member->vouches && member->host.state != HOST_LEFT;
+}
+
+int membership_peers_vouch(const struct membership *m)
+{
+	for (guint i = 1; i < m->table.members->len; i++)
+		if (must_vouch(g_ptr_array_index(m->table.members, i)))
+			return 0;
+	return m->table.members->len > 1;
+}
+
+void membership_ask_peers(struct membership *m, uint32_t max,
+			  struct outbox *outbox)
+{
+	for (guint i = 1; i < m->table.members->len && max; i++) {
+		struct member *member = g_ptr_array_index(m->table.members, i);
+
+		if (!must_vouch(member))
+			continue;
+		send_ping(m, member->host.address, ++m->sequence, outbox);
+		max--;
+	}
 }
 
 void membership_assert_valid(const struct membership *m)
