--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -30,14 +30,14 @@
 
 enum admission_policy {
 	ADMISSION_CLASSES, /* the policy described above */
-	ADMISSION_FIFO,	   /* one unbounded queue; baseline */
+	ADMISSION_FIFO, /* one unbounded queue; baseline */
 };
 
 struct admission_call {
 	uint64_t ticket; /* chosen by the caller of this module */
 	enum call_class call_class;
 	uint64_t deadline_ms; /* absolute */
-	uint32_t queue;	      /* limit of its class */
+	uint32_t queue; /* limit of its class */
 	uint32_t reserve_percent;
 };
 
--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -23,28 +23,28 @@
 struct outbox;
 
 enum distribution_mode {
-	DISTRIBUTION_RELAY,  /* relays watch and push, gossip repairs */
+	DISTRIBUTION_RELAY, /* relays watch and push, gossip repairs */
 	DISTRIBUTION_GOSSIP, /* relays watch, gossip alone spreads */
-	DISTRIBUTION_POLL,   /* every host watches the store */
+	DISTRIBUTION_POLL, /* every host watches the store */
 };
 
 struct distribution_settings {
 	enum distribution_mode mode;
 	uint32_t relays_per_domain;
 	uint32_t fan_out;
-	uint32_t ack_timeout_ms;  /* before a child's subtree is adopted */
+	uint32_t ack_timeout_ms; /* before a child's subtree is adopted */
 	uint32_t backup_delay_ms; /* per rank, before a further relay pushes */
 	uint32_t fetch_timeout_ms;
-	int deltas;  /* push differences where the base is known */
+	int deltas; /* push differences where the base is known */
 	int witness; /* a relay waits until another host holds a version */
 };
 
 extern const struct distribution_settings distribution_defaults;
 
 enum distribution_action_type {
-	DISTRIBUTION_APPLY,  /* put the checked text in force */
+	DISTRIBUTION_APPLY, /* put the checked text in force */
 	DISTRIBUTION_REJECT, /* the version is refused whole */
-	DISTRIBUTION_WATCH,  /* begin to watch the store */
+	DISTRIBUTION_WATCH, /* begin to watch the store */
 	DISTRIBUTION_UNWATCH,
 };
 
--- a/fescue/envelope.h
+++ b/fescue/envelope.h
@@ -24,9 +24,9 @@
 };
 
 enum envelope_fate {
-	ENVELOPE_CURRENT,  /* the change is the stored one */
+	ENVELOPE_CURRENT, /* the change is the stored one */
 	ENVELOPE_REPLACED, /* it was stored and later changes followed */
-	ENVELOPE_ABSENT,   /* it never took effect, or is too old to tell */
+	ENVELOPE_ABSENT, /* it never took effect, or is too old to tell */
 };
 
 /* Parse a stored value. Returns 0 or FESCUE_EINVAL. */
--- a/fescue/error.h
+++ b/fescue/error.h
@@ -8,16 +8,16 @@
 
 enum fescue_error {
 	FESCUE_OK = 0,
-	FESCUE_EINVAL = -1,	  /* an argument or input is malformed */
-	FESCUE_EIO = -2,	  /* a socket or file operation failed */
-	FESCUE_ETIMEOUT = -3,	  /* no answer before the timeout */
+	FESCUE_EINVAL = -1, /* an argument or input is malformed */
+	FESCUE_EIO = -2, /* a socket or file operation failed */
+	FESCUE_ETIMEOUT = -3, /* no answer before the timeout */
 	FESCUE_EUNAVAILABLE = -4, /* the peer or the store refused the call */
-	FESCUE_ECONFLICT = -5,	  /* a compare-and-swap lost */
-	FESCUE_ENOTFOUND = -6,	  /* the key, route or host is unknown */
-	FESCUE_ETOOBIG = -7,	  /* input exceeds a documented size */
-	FESCUE_EMISMATCH = -8,	  /* a checksum or base version differs */
-	FESCUE_EPARTIAL = -9,	  /* the answer ended early */
-	FESCUE_ECANCELED = -10,	  /* the caller or owner gave up */
+	FESCUE_ECONFLICT = -5, /* a compare-and-swap lost */
+	FESCUE_ENOTFOUND = -6, /* the key, route or host is unknown */
+	FESCUE_ETOOBIG = -7, /* input exceeds a documented size */
+	FESCUE_EMISMATCH = -8, /* a checksum or base version differs */
+	FESCUE_EPARTIAL = -9, /* the answer ended early */
+	FESCUE_ECANCELED = -10, /* the caller or owner gave up */
 };
 
 /*
--- a/fescue/floor.h
+++ b/fescue/floor.h
@@ -5,7 +5,7 @@
  * had before. Its floor is confirmed by the store's own revision or, while
  * the store is out, by peers: once every known host has said that it knows
  * its own floor and the settle time has passed, the highest version any of
- * them was seen to have in force. A version is only put in force while
+ * them was seen to have in force or as its floor. A version is only put in force while
  * another host holds it, so one of them remembers it; when too many hosts
  * restarted to be sure of that, only the store can confirm. The module reads
  * no clock.
--- a/fescue/history.h
+++ b/fescue/history.h
@@ -5,6 +5,7 @@
  * Records are JSON objects, one a line, in any order between files:
  *   accepted  version                     an operator's change was accepted
  *   started   source                      a node began
+ *   stopped, frozen, thawed  source       it did not run, or ran again
  *   applied   source version hash         a node put a version in force
  *   run       id key instance poison      a backend server began a call
  *   leaving   source                      a backend server announced its leave
@@ -22,20 +23,20 @@
 enum history_property {
 	HISTORY_VERSION_MONOTONIC, /* no node moves to an older version */
 	HISTORY_VERSION_SAME_TEXT, /* one version has one text everywhere */
-	HISTORY_VERSION_ACCEPTED,  /* nothing is in force unless accepted */
-	HISTORY_CONVERGED,    /* each running node reaches the last version */
-	HISTORY_OWN_ANSWER,   /* each answer is whole and the caller's own */
-	HISTORY_NOT_RUN,      /* "not run" did not run */
-	HISTORY_RAN,	      /* "ran" did run */
+	HISTORY_VERSION_ACCEPTED, /* nothing is in force unless accepted */
+	HISTORY_CONVERGED, /* each running node reaches the last version */
+	HISTORY_OWN_ANSWER, /* each answer is whole and the caller's own */
+	HISTORY_NOT_RUN, /* "not run" did not run */
+	HISTORY_RAN, /* "ran" did run */
 	HISTORY_AT_MOST_ONCE, /* a key runs at most once */
-	HISTORY_POISON,	      /* one request crashes at most two */
-	HISTORY_LEAVING,      /* no run begins 2 s after a leave */
+	HISTORY_POISON, /* one request crashes at most two */
+	HISTORY_LEAVING, /* no run begins 2 s after a leave */
 	HISTORY_PROPERTY_COUNT
 };
 
 struct history_settings {
 	uint64_t convergence_us; /* bound on accepted until in force */
-	uint64_t leaving_us;	 /* grace after a leave */
+	uint64_t leaving_us; /* grace after a leave */
 	uint32_t poison_max;
 };
 
--- a/fescue/host.h
+++ b/fescue/host.h
@@ -16,7 +16,7 @@
 };
 
 struct host {
-	uint64_t address;     /* address_key() of the peer address */
+	uint64_t address; /* address_key() of the peer address */
 	uint64_t incarnation; /* raised by the host itself only */
 	enum host_state state;
 	char failure_domain[HOST_NAME_BYTES];
--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -86,14 +86,15 @@
 /* When a probe was last acknowledged; at first, the time of creation. */
 uint64_t membership_last_contact_ms(const struct membership *membership);
 
-/* Highest version any peer was seen to have in force. */
+/* Highest version any peer was seen to have in force or as its floor. */
 uint64_t membership_highest_version(const struct membership *membership);
 
 /* Has at least one whole table been received from a peer? */
 int membership_is_synced(const struct membership *membership);
 
-/* Tell peers whether this node knows its version floor. */
-void membership_set_confirmed(struct membership *membership, int confirmed);
+/* Tell peers whether this node knows its version floor, and which it is. */
+void membership_set_floor(struct membership *membership, int confirmed,
+			  uint64_t floor);
 
 /*
  * Has every known host that did not leave said itself, since the own start
--- a/fescue/retry.h
+++ b/fescue/retry.h
@@ -31,9 +31,9 @@
 
 struct retry_question {
 	const struct contract *contract;
-	uint32_t attempts;	   /* made so far */
+	uint32_t attempts; /* made so far */
 	enum call_outcome outcome; /* of the last one */
-	int final;	       /* the answer says another attempt cannot help */
+	int final; /* the answer says another attempt cannot help */
 	uint64_t remaining_ms; /* until the call's deadline */
 };
 
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -15,7 +15,7 @@
 
 enum router_policy {
 	ROUTER_TWO_CHOICES, /* the policy described above */
-	ROUTER_RANDOM,	    /* any host; the baseline for measurements */
+	ROUTER_RANDOM, /* any host; the baseline for measurements */
 };
 
 struct router_settings {
@@ -23,7 +23,7 @@
 	uint32_t slow_start_ms;
 	uint32_t load_half_life_ms; /* ageing of reported load */
 	uint32_t failures_to_eject; /* consecutive */
-	uint32_t ejection_ms;	    /* doubled each time in a row */
+	uint32_t ejection_ms; /* doubled each time in a row */
 	uint32_t ejection_max_ms;
 };
 
@@ -32,8 +32,8 @@
 /* How a call sent to a host ended, as evidence on that host. */
 enum router_result {
 	ROUTER_ANSWERED,
-	ROUTER_REFUSED,	 /* healthy but full or leaving */
-	ROUTER_FAILED,	 /* no connection, crash or timeout */
+	ROUTER_REFUSED, /* healthy but full or leaving */
+	ROUTER_FAILED, /* no connection, crash or timeout */
 	ROUTER_CANCELED, /* says nothing on the host */
 };
 
--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -49,7 +49,7 @@
 
 struct route_rule {
 	char *method; /* "*" matches any */
-	char *host;   /* "*" matches any */
+	char *host; /* "*" matches any */
 	char *prefix; /* starts with '/' */
 	char service[RULES_NAME_MAX_BYTES + 1];
 	struct contract contract;
@@ -60,7 +60,7 @@
 
 /* One bad line: where, what was found, and the remedy. */
 struct diagnostic {
-	uint32_t line;	 /* 1-based; 0 for the file as a whole */
+	uint32_t line; /* 1-based; 0 for the file as a whole */
 	uint32_t column; /* 1-based, in bytes */
 	char what[192];
 	char remedy[192];
--- a/fescue/snapshot.h
+++ b/fescue/snapshot.h
@@ -33,7 +33,7 @@
 enum route_lookup {
 	ROUTE_FOUND,
 	ROUTE_WITHDRAWN, /* the best match has no backend server now */
-	ROUTE_UNKNOWN,	 /* no rule matches */
+	ROUTE_UNKNOWN, /* no rule matches */
 };
 
 /*
--- a/programs/fescue_check.c
+++ b/programs/fescue_check.c
@@ -56,9 +56,9 @@
 {
 	static gint convergence_ms = 3000;
 	static const GOptionEntry entries[] = {
-		{"convergence-ms", 0, 0, G_OPTION_ARG_INT, &convergence_ms,
-		 "Bound on accepted until in force", "MS"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "convergence-ms", 0, 0, G_OPTION_ARG_INT, &convergence_ms,
+		  "Bound on accepted until in force", "MS" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	struct history_settings settings = history_defaults;
 	struct history *history;
--- a/programs/fescue_load.c
+++ b/programs/fescue_load.c
@@ -28,7 +28,7 @@
 static struct {
 	char *nodes, *mix, *history, *name, *csv;
 	gint rate, seconds, seed, resend;
-} options = {.rate = 100, .seconds = 10, .seed = 1, .name = "load"};
+} options = { .rate = 100, .seconds = 10, .seed = 1, .name = "load" };
 
 /* One kind of call in the mix. */
 struct mix {
@@ -36,9 +36,9 @@
 	char *path;
 	char *body;
 	enum call_class call_class;
-	int keyed;  /* send an idempotency key */
+	int keyed; /* send an idempotency key */
 	int poison; /* mark of a request that crashes backend servers */
-	int chain;  /* calls below this one */
+	int chain; /* calls below this one */
 	double weight;
 };
 
@@ -335,25 +335,25 @@
 int main(int argc, char **argv)
 {
 	static const GOptionEntry entries[] = {
-		{"nodes", 0, 0, G_OPTION_ARG_STRING, &options.nodes,
-		 "Caller ports to call, chosen at random", "IP:PORT,..."},
-		{"mix", 0, 0, G_OPTION_ARG_FILENAME, &options.mix,
-		 "JSON list of the kinds of call", "FILE"},
-		{"history", 0, 0, G_OPTION_ARG_FILENAME, &options.history,
-		 "Append each call for fescue-check", "FILE"},
-		{"name", 0, 0, G_OPTION_ARG_STRING, &options.name,
-		 "Prefix of request ids", "NAME"},
-		{"rate", 0, 0, G_OPTION_ARG_INT, &options.rate,
-		 "Mean arrivals a second", "N"},
-		{"seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds,
-		 "Length of the run", "N"},
-		{"resend", 0, 0, G_OPTION_ARG_INT, &options.resend,
-		 "Send again up to N times, same key, when not known to have "
-		 "run",
-		 "N"},
-		{"seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
-		 "Seed of arrivals and choices", "N"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "nodes", 0, 0, G_OPTION_ARG_STRING, &options.nodes,
+		  "Caller ports to call, chosen at random", "IP:PORT,..." },
+		{ "mix", 0, 0, G_OPTION_ARG_FILENAME, &options.mix,
+		  "JSON list of the kinds of call", "FILE" },
+		{ "history", 0, 0, G_OPTION_ARG_FILENAME, &options.history,
+		  "Append each call for fescue-check", "FILE" },
+		{ "name", 0, 0, G_OPTION_ARG_STRING, &options.name,
+		  "Prefix of request ids", "NAME" },
+		{ "rate", 0, 0, G_OPTION_ARG_INT, &options.rate,
+		  "Mean arrivals a second", "N" },
+		{ "seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds,
+		  "Length of the run", "N" },
+		{ "resend", 0, 0, G_OPTION_ARG_INT, &options.resend,
+		  "Send again up to N times, same key, when not known to have "
+		  "run",
+		  "N" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
+		  "Seed of arrivals and choices", "N" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	static struct load load;
 
--- a/programs/fescue_node.c
+++ b/programs/fescue_node.c
@@ -15,8 +15,8 @@
 	uv_loop_t *loop = uv_default_loop();
 	struct event_log *events;
 	struct node *node;
-	struct address address = {settings->address,
-				  (uint16_t)settings->peer_port};
+	struct address address = { settings->address,
+				   (uint16_t)settings->peer_port };
 	char source[ADDRESS_TEXT_BYTES];
 	int error = event_log_open(events_path, address_format(address, source),
 				   &events);
@@ -45,11 +45,11 @@
 {
 	static char *check, *events;
 	static const GOptionEntry entries[] = {
-		{"check-settings", 0, 0, G_OPTION_ARG_FILENAME, &check,
-		 "Check a settings file and exit", "FILE"},
-		{"events", 0, 0, G_OPTION_ARG_FILENAME, &events,
-		 "Append events for fescue-check to a file", "FILE"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "check-settings", 0, 0, G_OPTION_ARG_FILENAME, &check,
+		  "Check a settings file and exit", "FILE" },
+		{ "events", 0, 0, G_OPTION_ARG_FILENAME, &events,
+		  "Append events for fescue-check to a file", "FILE" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	struct node_settings settings;
 	char message[SETTINGS_ERROR_BYTES];
--- a/programs/fescuectl.c
+++ b/programs/fescuectl.c
@@ -22,7 +22,7 @@
 	"  explain PATH     where a call goes, and which line says so\n"
 	"Exit codes: 0 good, 1 refused, 2 usage.";
 
-static struct ctl ctl = {.base = -1};
+static struct ctl ctl = { .base = -1 };
 static char *store_text, *node_text, *settings_path;
 
 struct command {
@@ -34,10 +34,10 @@
 };
 
 static const struct command commands[] = {
-	{"check", 1, ctl_check, 0, 0},	   {"apply", 1, ctl_apply, 1, 0},
-	{"edit", 1, ctl_edit, 0, 0},	   {"diff", 1, ctl_diff, 1, 0},
-	{"show", 0, ctl_show, 1, 0},	   {"status", 0, ctl_status, 0, 1},
-	{"explain", 1, ctl_explain, 0, 1},
+	{ "check", 1, ctl_check, 0, 0 },     { "apply", 1, ctl_apply, 1, 0 },
+	{ "edit", 1, ctl_edit, 0, 0 },	     { "diff", 1, ctl_diff, 1, 0 },
+	{ "show", 0, ctl_show, 1, 0 },	     { "status", 0, ctl_status, 0, 1 },
+	{ "explain", 1, ctl_explain, 0, 1 },
 };
 
 static const struct command *find_command(const char *name)
@@ -73,29 +73,30 @@
 int main(int argc, char **argv)
 {
 	const GOptionEntry entries[] = {
-		{"store", 0, 0, G_OPTION_ARG_STRING, &store_text,
-		 "The key-value service", "IP:PORT"},
-		{"node", 0, 0, G_OPTION_ARG_STRING, &node_text,
-		 "Operator port of any node", "IP:PORT"},
-		{"settings", 0, 0, G_OPTION_ARG_FILENAME, &settings_path,
-		 "JSON file with \"store\" and \"node\"", "FILE"},
-		{"base", 0, 0, G_OPTION_ARG_INT64, &ctl.base,
-		 "apply: version the file was made from", "VERSION"},
-		{"events", 0, 0, G_OPTION_ARG_FILENAME, &ctl.events_path,
-		 "apply: append the accepted version for fescue-check", "FILE"},
-		{"method", 0, 0, G_OPTION_ARG_STRING, &ctl.method,
-		 "explain: method of the call", "METHOD"},
-		{"host", 0, 0, G_OPTION_ARG_STRING, &ctl.host,
-		 "explain: host of the call", "HOST"},
-		{"add", 0, 0, G_OPTION_ARG_STRING, &ctl.add,
-		 "edit: append a line", "LINE"},
-		{"remove", 0, 0, G_OPTION_ARG_INT, &ctl.remove,
-		 "edit: remove the line", "NUMBER"},
-		{"replace", 0, 0, G_OPTION_ARG_INT, &ctl.replace,
-		 "edit: replace the line by --with", "NUMBER"},
-		{"with", 0, 0, G_OPTION_ARG_STRING, &ctl.with,
-		 "edit: the new line", "LINE"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "store", 0, 0, G_OPTION_ARG_STRING, &store_text,
+		  "The key-value service", "IP:PORT" },
+		{ "node", 0, 0, G_OPTION_ARG_STRING, &node_text,
+		  "Operator port of any node", "IP:PORT" },
+		{ "settings", 0, 0, G_OPTION_ARG_FILENAME, &settings_path,
+		  "JSON file with \"store\" and \"node\"", "FILE" },
+		{ "base", 0, 0, G_OPTION_ARG_INT64, &ctl.base,
+		  "apply: version the file was made from", "VERSION" },
+		{ "events", 0, 0, G_OPTION_ARG_FILENAME, &ctl.events_path,
+		  "apply: append the accepted version for fescue-check",
+		  "FILE" },
+		{ "method", 0, 0, G_OPTION_ARG_STRING, &ctl.method,
+		  "explain: method of the call", "METHOD" },
+		{ "host", 0, 0, G_OPTION_ARG_STRING, &ctl.host,
+		  "explain: host of the call", "HOST" },
+		{ "add", 0, 0, G_OPTION_ARG_STRING, &ctl.add,
+		  "edit: append a line", "LINE" },
+		{ "remove", 0, 0, G_OPTION_ARG_INT, &ctl.remove,
+		  "edit: remove the line", "NUMBER" },
+		{ "replace", 0, 0, G_OPTION_ARG_INT, &ctl.replace,
+		  "edit: replace the line by --with", "NUMBER" },
+		{ "with", 0, 0, G_OPTION_ARG_STRING, &ctl.with,
+		  "edit: the new line", "LINE" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	const struct command *command;
 
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1094,7 +1094,7 @@
   (ProtobufCMessageInit) fescue__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__gossip__field_descriptors[6] =
+static const ProtobufCFieldDescriptor fescue__gossip__field_descriptors[7] =
 {
   {
     "self",
@@ -1168,9 +1168,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floor",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Gossip, floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__gossip__field_indices_by_name[] = {
   5,   /* field[5] = confirmed */
+  6,   /* field[6] = floor */
   2,   /* field[2] = hash */
   0,   /* field[0] = self */
   3,   /* field[3] = table_digest */
@@ -1180,7 +1193,7 @@
 static const ProtobufCIntRange fescue__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor fescue__gossip__descriptor =
 {
@@ -1190,7 +1203,7 @@
   "Fescue__Gossip",
   "fescue",
   sizeof(Fescue__Gossip),
-  6,
+  7,
   fescue__gossip__field_descriptors,
   fescue__gossip__field_indices_by_name,
   1,  fescue__gossip__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -124,10 +124,14 @@
    * the sender knows its version floor
    */
   protobuf_c_boolean confirmed;
+  /*
+   * that floor
+   */
+  uint64_t floor;
 };
 #define FESCUE__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__gossip__descriptor) \
-    , NULL, 0, 0, 0, 0,NULL, 0 }
+    , NULL, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Fescue__Ping
--- a/script/fleet.sh
+++ b/script/fleet.sh
@@ -35,6 +35,22 @@
 	kill -"$2" "${fleet_pids[$1]}" 2>/dev/null || true
 }
 
+# note_event FILE SOURCE TYPE: a record of what a scenario did.
+note_event() {
+	echo "{\"t_us\":$(date +%s%6N),\"source\":\"$2\",\"type\":\"$3\"}" \
+		>>"$out/$1.events"
+}
+
+# freeze_node DEPLOYMENT NUMBER; thaw_node DEPLOYMENT NUMBER
+freeze_node() {
+	note_event "$1-freezes" "$(node_ip "$1" "$2"):7000" frozen
+	fleet_signal "$1-node-$2" STOP
+}
+thaw_node() {
+	fleet_signal "$1-node-$2" CONT
+	note_event "$1-freezes" "$(node_ip "$1" "$2"):7000" thawed
+}
+
 # fleet_kill NAME: kill a process as a crash would.
 fleet_kill() {
 	local pid=${fleet_pids[$1]:-}
--- a/src/address.c
+++ b/src/address.c
@@ -48,7 +48,7 @@
 
 struct address address_from_key(uint64_t key)
 {
-	struct address address = {(uint32_t)(key >> 16), (uint16_t)key};
+	struct address address = { (uint32_t)(key >> 16), (uint16_t)key };
 
 	return address;
 }
@@ -66,8 +66,8 @@
 
 struct address address_from_sockaddr(const struct sockaddr_in *in)
 {
-	struct address address = {ntohl(in->sin_addr.s_addr),
-				  ntohs(in->sin_port)};
+	struct address address = { ntohl(in->sin_addr.s_addr),
+				   ntohs(in->sin_port) };
 
 	return address;
 }
--- a/src/admission.c
+++ b/src/admission.c
@@ -14,7 +14,7 @@
 	uint32_t in_use;
 	int draining;
 	double service_us; /* moving average of the time in the slot */
-	uint32_t grants;   /* since a waiting background call last got a slot */
+	uint32_t grants; /* since a waiting background call last got a slot */
 	GQueue queues[CALL_CLASS_COUNT]; /* struct admission_call */
 };
 
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -128,7 +128,8 @@
 {
 	static const char *const names[] = {
 		"connection", "content-length", "transfer-encoding",
-		"keep-alive", "server",		"date"};
+		"keep-alive", "server",		"date"
+	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
 		if (!g_ascii_strcasecmp(name, names[i]))
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -13,13 +13,13 @@
 #define RETRY_MIN_MS 250
 #define RETRY_MAX_MS 5000
 #define ASK_PEERS_MS 1000
-#define ASK_PEERS_MAX 32      /* a second: within the control budget */
+#define ASK_PEERS_MAX 32 /* a second: within the control budget */
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
 
 enum boot_phase {
-	BOOT_WAIT,     /* for the next attempt's time */
-	BOOT_LIST,     /* reading the rendezvous records */
+	BOOT_WAIT, /* for the next attempt's time */
+	BOOT_LIST, /* reading the rendezvous records */
 	BOOT_REVISION, /* reading the configuration's revision */
 	BOOT_DONE,
 };
@@ -132,7 +132,7 @@
 	int vouched = membership_is_synced(membership) &&
 		      membership_peers_vouch(membership);
 
-	membership_set_confirmed(membership, b->floor.confirmed);
+	membership_set_floor(membership, b->floor.confirmed, b->floor.version);
 	if (!b->floor.confirmed && now_ms >= b->ask_at_ms) {
 		membership_ask_peers(membership, ASK_PEERS_MAX,
 				     &b->node->outbox);
--- a/src/caller.c
+++ b/src/caller.c
@@ -21,7 +21,7 @@
 	struct contract contract;
 	char *method;
 	char *path;
-	char *key;	    /* idempotency key or "" */
+	char *key; /* idempotency key or "" */
 	GPtrArray *headers; /* Fescue__Header, passed on */
 	const char *body;
 	size_t body_size;
@@ -110,8 +110,8 @@
 			  enum call_outcome outcome, const char *reason)
 {
 	struct http_header headers[] = {
-		{"x-fescue-outcome", call_outcome_name(outcome)},
-		{"content-type", "text/plain"},
+		{ "x-fescue-outcome", call_outcome_name(outcome) },
+		{ "content-type", "text/plain" },
 	};
 	char *body =
 		g_strdup_printf("%s: %s\n", call_outcome_name(outcome), reason);
@@ -184,8 +184,8 @@
 	request->headers = g_new(Fescue__Header *, c->headers->len + 1);
 	for (guint i = 0; i < c->headers->len; i++) {
 		const Fescue__Header *h = g_ptr_array_index(c->headers, i);
-		struct http_text name = {h->name, strlen(h->name)};
-		struct http_text value = {h->value, strlen(h->value)};
+		struct http_text name = { h->name, strlen(h->name) };
+		struct http_text value = { h->value, strlen(h->value) };
 
 		request->headers[request->n_headers++] =
 			header_create(name, value);
@@ -323,8 +323,8 @@
 			 const Fescue__CallAnswer *answer)
 {
 	struct call *c = g_hash_table_lookup(t->attempts, &answer->call_id);
-	struct router_load load = {answer->in_use, answer->queued,
-				   answer->slots};
+	struct router_load load = { answer->in_use, answer->queued,
+				    answer->slots };
 
 	/* A late answer of an earlier attempt, or one that is not ours. */
 	if (!c || c->tried[c->attempts - 1] != from)
@@ -395,7 +395,8 @@
 	static const char *const names[] = {
 		"connection", "keep-alive",	      "content-length",
 		"host",	      "transfer-encoding",    "upgrade",
-		"expect",     "x-fescue-deadline-ms", "x-fescue-depth"};
+		"expect",     "x-fescue-deadline-ms", "x-fescue-depth"
+	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
 		if (name.size == strlen(names[i]) &&
--- a/src/counters.c
+++ b/src/counters.c
@@ -9,8 +9,8 @@
 static void format_histogram(const struct histogram *h, const char *name,
 			     enum call_class call_class, GString *out)
 {
-	static const double shares[] = {0.5, 0.99, 0.999};
-	static const char *const labels[] = {"p50", "p99", "p999"};
+	static const double shares[] = { 0.5, 0.99, 0.999 };
+	static const char *const labels[] = { "p50", "p99", "p999" };
 	const char *label = call_class_name(call_class);
 
 	g_string_append_printf(out, "%s_%s_count %" G_GUINT64_FORMAT "\n", name,
--- a/src/counters.h
+++ b/src/counters.h
@@ -61,7 +61,7 @@
 	uint64_t values[COUNTER_COUNT];
 	uint64_t bytes_sent[PACKET_PURPOSE_COUNT];
 	uint64_t bytes_received[PACKET_PURPOSE_COUNT];
-	uint64_t store_bytes;			       /* sent and received */
+	uint64_t store_bytes; /* sent and received */
 	struct histogram latency_us[CALL_CLASS_COUNT]; /* of whole calls */
 	struct histogram service_us[CALL_CLASS_COUNT]; /* in the own slot */
 };
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -13,7 +13,7 @@
 struct ctl {
 	uv_loop_t *loop;
 	struct address store; /* port 0: not given */
-	struct address node;  /* a node's operator port */
+	struct address node; /* a node's operator port */
 	int64_t base; /* version the file was made from; -1: not given */
 	char *events_path;
 	char *method;
--- a/src/ctl_file.h
+++ b/src/ctl_file.h
@@ -11,7 +11,7 @@
 struct ctl_file {
 	char *bytes; /* the whole file */
 	size_t size;
-	int64_t version;  /* of the leading comment, -1 without one */
+	int64_t version; /* of the leading comment, -1 without one */
 	const char *text; /* behind that comment */
 	size_t text_size;
 	uint32_t skipped_lines;
--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -35,10 +35,11 @@
 static struct question ask(uv_loop_t *loop, struct address address,
 			   const char *path)
 {
-	struct question question = {loop, NULL, NULL};
+	struct question question = { loop, NULL, NULL };
 	struct http_pool *pool = http_pool_create(loop, address, 1);
-	struct http_request request = {
-		.method = "GET", .path = path, .timeout_ms = ASK_TIMEOUT_MS};
+	struct http_request request = { .method = "GET",
+					.path = path,
+					.timeout_ms = ASK_TIMEOUT_MS };
 
 	http_pool_send(pool, &request, on_answer, &question);
 	uv_run(loop, UV_RUN_DEFAULT);
@@ -90,7 +91,7 @@
 {
 	const char *peer = text_of(host, "address");
 	const char *state = text_of(host, "state");
-	struct question question = {0};
+	struct question question = { 0 };
 	struct address address;
 	const json_t *own;
 	int64_t version;
@@ -234,10 +235,10 @@
 		      char message[SETTINGS_ERROR_BYTES])
 {
 	static const struct setting table[] = {
-		{"store", SETTING_ADDRESS, offsetof(struct ctl, store), 0, 0, 0,
-		 NULL},
-		{"node", SETTING_ADDRESS, offsetof(struct ctl, node), 0, 0, 0,
-		 NULL},
+		{ "store", SETTING_ADDRESS, offsetof(struct ctl, store), 0, 0,
+		  0, NULL },
+		{ "node", SETTING_ADDRESS, offsetof(struct ctl, node), 0, 0, 0,
+		  NULL },
 	};
 
 	return settings_read(path, table, G_N_ELEMENTS(table), ctl, message);
--- a/src/ctl_store.c
+++ b/src/ctl_store.c
@@ -58,7 +58,7 @@
 static void read_stored(struct ctl *ctl, struct store_client *client,
 			struct stored *stored)
 {
-	struct wait wait = {ctl->loop, stored};
+	struct wait wait = { ctl->loop, stored };
 
 	memset(stored, 0, sizeof(*stored));
 	store_get(client, STORE_CONFIG_KEY, 0, on_result, &wait);
@@ -71,7 +71,7 @@
 			 const char *value, size_t size, uint64_t base,
 			 struct stored *stored)
 {
-	struct wait wait = {ctl->loop, stored};
+	struct wait wait = { ctl->loop, stored };
 
 	memset(stored, 0, sizeof(*stored));
 	store_put(client, STORE_CONFIG_KEY, value, size, base, 0, on_result,
@@ -202,8 +202,8 @@
 	SETTLED_ACCEPTED,
 	SETTLED_REPLACED, /* accepted, and later changes followed */
 	SETTLED_CONFLICT, /* never accepted: another change came first */
-	SETTLED_REFUSED,  /* the store refused it before any effect */
-	UNSETTLED,	  /* the store gave no answer for too long */
+	SETTLED_REFUSED, /* the store refused it before any effect */
+	UNSETTLED, /* the store gave no answer for too long */
 };
 
 /* Judge by what the store holds now whether the change took effect. */
@@ -266,7 +266,7 @@
 		    const struct stored *base)
 {
 	uint64_t change = draw_change();
-	struct stored now = {0};
+	struct stored now = { 0 };
 	uint64_t written_us = 0;
 	size_t size;
 	char *value = envelope_build(
@@ -312,7 +312,7 @@
 {
 	struct store_client *client =
 		store_client_create(ctl->loop, ctl->store, NULL);
-	struct stored stored = {0};
+	struct stored stored = { 0 };
 	struct ctl_file file;
 	int64_t base;
 	int code;
@@ -347,7 +347,7 @@
 
 int ctl_edit(struct ctl *ctl, const char *path)
 {
-	struct ctl_file file, edited = {0};
+	struct ctl_file file, edited = { 0 };
 	GString *out = g_string_new(NULL);
 	int number = 0, error;
 
--- a/src/delta.c
+++ b/src/delta.c
@@ -8,7 +8,7 @@
 struct delta delta_compute(const char *base, size_t base_size, const char *text,
 			   size_t size)
 {
-	struct delta delta = {0};
+	struct delta delta = { 0 };
 	size_t shared = MIN(base_size, size);
 	size_t prefix = 0, suffix = 0;
 
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -35,9 +35,9 @@
 	size_t rank;
 	int watching;
 	struct version_history history; /* the newest is in force */
-	struct version_text staged;	/* checked, not yet in force */
-	GArray *pending;		/* struct pending_push */
-	uint64_t push_due_ms;	 /* 0: none; when a further relay pushes */
+	struct version_text staged; /* checked, not yet in force */
+	GArray *pending; /* struct pending_push */
+	uint64_t push_due_ms; /* 0: none; when a further relay pushes */
 	uint64_t pushed_version; /* this domain's tree is under way */
 	uint64_t fetch_from;
 	uint64_t fetch_started_ms;
@@ -170,8 +170,8 @@
 
 	for (size_t g = 0; g < groups; g++) {
 		size_t len = (n - start) / (groups - g);
-		struct pending_push pending = {hosts[start], text->version,
-					       now_ms, NULL};
+		struct pending_push pending = { hosts[start], text->version,
+						now_ms, NULL };
 
 		pending.subtree = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		g_array_append_vals(pending.subtree, hosts + start + 1,
@@ -256,7 +256,7 @@
 			      const char *text, size_t size, const char *why,
 			      uint64_t now_ms, struct outbox *outbox)
 {
-	struct diagnostic bad = {0};
+	struct diagnostic bad = { 0 };
 
 	if (version <= newest(d)->version || version <= d->rejected_version)
 		return;
@@ -326,7 +326,7 @@
 		       const Fescue__ConfigPush *push, uint64_t now_ms,
 		       struct outbox *outbox)
 {
-	struct version_text text = {0};
+	struct version_text text = { 0 };
 
 	if (push->version <= in_force(d)->version)
 		return FESCUE_OK;
--- a/src/failure_domain.c
+++ b/src/failure_domain.c
@@ -31,9 +31,9 @@
 
 	for (size_t i = 0; i < membership_count(membership); i++) {
 		const struct host *host = membership_host(membership, i);
-		struct weighted_host entry = {host->address,
-					      host_weight(host->address,
-							  purpose, salt)};
+		struct weighted_host entry = {
+			host->address, host_weight(host->address, purpose, salt)
+		};
 
 		if (is_neighbour(self, host))
 			g_array_append_val(hosts, entry);
@@ -51,14 +51,15 @@
 			   const char *purpose)
 {
 	const struct host *self = membership_self(membership);
-	struct weighted_host own = {self->address,
-				    host_weight(self->address, purpose, 0)};
+	struct weighted_host own = { self->address,
+				     host_weight(self->address, purpose, 0) };
 	size_t rank = 0;
 
 	for (size_t i = 0; i < membership_count(membership); i++) {
 		const struct host *host = membership_host(membership, i);
 		struct weighted_host entry = {
-			host->address, host_weight(host->address, purpose, 0)};
+			host->address, host_weight(host->address, purpose, 0)
+		};
 
 		if (is_neighbour(self, host) &&
 		    compare_weights(&entry, &own) < 0)
--- a/src/history.c
+++ b/src/history.c
@@ -21,6 +21,8 @@
 	RECORD_RUN,
 	RECORD_LEAVING,
 	RECORD_CALL,
+	RECORD_FROZEN,
+	RECORD_THAWED,
 	RECORD_OTHER,
 };
 
@@ -83,9 +85,9 @@
 
 static enum record_type type_of(const char *name)
 {
-	static const char *const names[] = {"accepted", "started", "stopped",
-					    "applied",	"run",	   "leaving",
-					    "call"};
+	static const char *const names[] = { "accepted", "started", "stopped",
+					     "applied",	 "run",	    "leaving",
+					     "call",	 "frozen",  "thawed" };
 
 	for (size_t i = 0; name && i < G_N_ELEMENTS(names); i++)
 		if (!strcmp(name, names[i]))
@@ -245,6 +247,12 @@
 	g_hash_table_destroy(accepted);
 }
 
+static int is_interruption(const struct record *r)
+{
+	return r->type == RECORD_STARTED || r->type == RECORD_STOPPED ||
+	       r->type == RECORD_FROZEN || r->type == RECORD_THAWED;
+}
+
 /* The span in which a node ran without interruption around a time. */
 static int runs_through(const struct history *h, const char *source,
 			uint64_t from_us, uint64_t until_us)
@@ -258,11 +266,11 @@
 			continue;
 		if (r->t_us > until_us)
 			break;
-		if (r->type == RECORD_STARTED || r->type == RECORD_STOPPED) {
-			if (r->t_us >= from_us)
-				return 0;
-			running = r->type == RECORD_STARTED;
-		}
+		if (!is_interruption(r))
+			continue;
+		if (r->t_us >= from_us)
+			return 0;
+		running = r->type == RECORD_STARTED || r->type == RECORD_THAWED;
 	}
 	return running;
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -25,7 +25,7 @@
 	GString *request;
 	h2o_iovec_t request_vec;
 	int method_is_head;
-	int framed;   /* the answer states its length */
+	int framed; /* the answer states its length */
 	int starting; /* still inside http_pool_send() */
 	int sent;
 	int status;
@@ -159,7 +159,8 @@
 		const h2o_header_t *h = &headers[i];
 		struct http_header copy = {
 			g_ascii_strdown(h->name->base, (gssize)h->name->len),
-			g_strndup(h->value.base, h->value.len)};
+			g_strndup(h->value.base, h->value.len)
+		};
 
 		if (!strcmp(copy.name, "content-length") ||
 		    !strcmp(copy.name, "transfer-encoding"))
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -22,7 +22,7 @@
 
 struct http_result {
 	int error; /* 0, or why there is no whole answer */
-	int sent;  /* the peer may have seen the request */
+	int sent; /* the peer may have seen the request */
 	int status;
 	const struct http_header *headers;
 	size_t header_count;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -18,7 +18,7 @@
 	uv_tcp_t listener;
 	size_t connections;
 	size_t connections_max; /* 0: no limit */
-	GHashTable *waiting;	/* socket -> exchange; HTTP/1 has one each */
+	GHashTable *waiting; /* socket -> exchange; HTTP/1 has one each */
 	void (*handle)(void *data, struct http_exchange *exchange);
 	void *data;
 };
@@ -38,7 +38,7 @@
 
 static struct http_text to_text(h2o_iovec_t v)
 {
-	struct http_text text = {v.base, v.len};
+	struct http_text text = { v.base, v.len };
 
 	return text;
 }
@@ -243,7 +243,7 @@
 struct http_text http_exchange_header(const struct http_exchange *exchange,
 				      const char *name)
 {
-	struct http_text n, value = {NULL, 0};
+	struct http_text n, value = { NULL, 0 };
 	size_t len = strlen(name);
 
 	for (size_t i = 0; i < http_exchange_header_count(exchange); i++) {
@@ -343,7 +343,7 @@
 void http_exchange_reply_text(struct http_exchange *exchange, int status,
 			      const char *type, const char *text)
 {
-	struct http_header header = {"content-type", type};
+	struct http_header header = { "content-type", type };
 
 	http_exchange_reply(exchange, status, &header, 1, text, strlen(text));
 }
--- a/src/member_table.c
+++ b/src/member_table.c
@@ -23,7 +23,7 @@
 
 static uint32_t record_digest(const struct host *host)
 {
-	uint64_t key[2] = {host->address, host->incarnation};
+	uint64_t key[2] = { host->address, host->incarnation };
 
 	return (uint32_t)XXH64(key, sizeof(key), 2);
 }
@@ -266,7 +266,7 @@
 
 void member_table_assert_valid(const struct member_table *t)
 {
-	uint32_t digests[MEMBER_BUCKETS] = {0};
+	uint32_t digests[MEMBER_BUCKETS] = { 0 };
 	size_t up = 0;
 
 	for (guint i = 0; i < t->members->len; i++) {
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -14,7 +14,7 @@
 struct member {
 	struct host host;
 	uint32_t transmits; /* times the record was passed on */
-	int queued;	    /* in the update queue */
+	int queued; /* in the update queue */
 	int vouches; /* said itself, since the last reset, that it is confirmed */
 	uint64_t state_since_ms;
 };
@@ -22,7 +22,7 @@
 struct member_table {
 	GPtrArray *members; /* struct member; index 0 is the own host */
 	GHashTable *by_address;
-	GQueue updates;	     /* struct member with records to pass on */
+	GQueue updates; /* struct member with records to pass on */
 	uint64_t generation; /* changes with what a snapshot depends on */
 	uint64_t now_ms;
 	size_t up_count;
--- a/src/membership.c
+++ b/src/membership.c
@@ -34,6 +34,7 @@
 	struct member_table table;
 	uint64_t hash; /* of the configuration in force */
 	int confirmed;
+	uint64_t floor; /* of the own node, while confirmed */
 	uint64_t last_tick_ms;
 	uint64_t last_contact_ms;
 	uint64_t highest_version;
@@ -61,6 +62,7 @@
 	gossip->version = own->version;
 	gossip->hash = m->hash;
 	gossip->confirmed = m->confirmed;
+	gossip->floor = m->floor;
 	gossip->table_digest = member_table_digest(&m->table);
 	member_table_add_updates(&m->table, to, m->settings.updates_per_packet,
 				 gossip);
@@ -127,7 +129,8 @@
 		member->host.version =
 			MAX(member->host.version, gossip->version);
 	}
-	m->highest_version = MAX(m->highest_version, gossip->version);
+	m->highest_version =
+		MAX(m->highest_version, MAX(gossip->version, gossip->floor));
 	if (sync_is_due(m, gossip->table_digest))
 		send_sync_request(m, from, outbox);
 }
@@ -160,7 +163,7 @@
 				 const Fescue__SyncRequest *request,
 				 struct outbox *outbox)
 {
-	uint8_t wanted[MEMBER_BUCKETS] = {0};
+	uint8_t wanted[MEMBER_BUCKETS] = { 0 };
 	Fescue__Packet *packet;
 	Fescue__SyncReply *reply;
 
@@ -181,7 +184,7 @@
 			       const Fescue__SyncReply *reply,
 			       struct outbox *outbox)
 {
-	uint8_t wanted[MEMBER_BUCKETS] = {0};
+	uint8_t wanted[MEMBER_BUCKETS] = { 0 };
 
 	for (size_t i = 0; i < reply->n_buckets; i++)
 		if (reply->buckets[i] < MEMBER_BUCKETS)
@@ -521,9 +524,10 @@
 	return m->synced;
 }
 
-void membership_set_confirmed(struct membership *m, int confirmed)
+void membership_set_floor(struct membership *m, int confirmed, uint64_t floor)
 {
 	m->confirmed = confirmed;
+	m->floor = confirmed ? floor : 0;
 }
 
 /* A host that left told its version to others before it went. */
--- a/src/node.c
+++ b/src/node.c
@@ -62,9 +62,9 @@
 
 	for (size_t i = 0; i < membership_count(node->membership); i++) {
 		const struct host *host = membership_host(node->membership, i);
-		struct snapshot_host entry = {host->address, host->service,
-					      host->failure_domain,
-					      host->slots};
+		struct snapshot_host entry = { host->address, host->service,
+					       host->failure_domain,
+					       host->slots };
 
 		if (host_is_serving(host))
 			g_array_append_val(hosts, entry);
@@ -317,10 +317,10 @@
 static int open_sockets(struct node *node)
 {
 	const struct node_settings *s = &node->settings;
-	struct transport_events events = {on_packet, on_link_closed, node};
-	struct address callers = {s->address, (uint16_t)s->caller_port};
-	struct address operators = {s->operator_address,
-				    (uint16_t)s->operator_port};
+	struct transport_events events = { on_packet, on_link_closed, node };
+	struct address callers = { s->address, (uint16_t)s->caller_port };
+	struct address operators = { s->operator_address,
+				     (uint16_t)s->operator_port };
 	int error = transport_create(node->loop, node->peer_address, &events,
 				     &node->counters, &node->transport);
 
--- a/src/node.h
+++ b/src/node.h
@@ -33,20 +33,20 @@
 	struct outbox outbox;
 	struct membership *membership;
 	struct distribution *distribution;
-	struct snapshot *snapshot;    /* NULL until a version is in force */
+	struct snapshot *snapshot; /* NULL until a version is in force */
 	uint64_t snapshot_generation; /* of membership, when compiled */
 	struct transport *transport;
 	struct store_client *store;
-	struct bootstrap *bootstrap;	/* start-up, store watch, rendezvous */
+	struct bootstrap *bootstrap; /* start-up, store watch, rendezvous */
 	struct backend_server *backend; /* the own one and its calls */
-	struct caller_table *callers;	/* calls that entered here */
+	struct caller_table *callers; /* calls that entered here */
 	struct http_server *caller_server;
 	struct http_server *operator_server;
 	uv_timer_t tick;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uint64_t drain_deadline_ms; /* 0 while not stopping */
-	int cut_off;		    /* no peer answered for a while */
+	int cut_off; /* no peer answered for a while */
 };
 
 /* Create and start a node on the loop. Returns 0 or FESCUE_EIO. */
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -9,26 +9,28 @@
 		key, SETTING_NUMBER, FIELD(member), 0, min, max, NULL \
 	}
 
-static const char *const modes[] = {"relay", "gossip", "poll", NULL};
-static const char *const router_policies[] = {"two-choices", "random", NULL};
-static const char *const admission_policies[] = {"classes", "fifo", NULL};
+static const char *const modes[] = { "relay", "gossip", "poll", NULL };
+static const char *const router_policies[] = { "two-choices", "random", NULL };
+static const char *const admission_policies[] = { "classes", "fifo", NULL };
 
 static const struct setting table[] = {
-	{"address", SETTING_IP, FIELD(address), 1, 0, 0, NULL},
-	{"peer_port", SETTING_NUMBER, FIELD(peer_port), 1, 1, 65535, NULL},
-	{"caller_port", SETTING_NUMBER, FIELD(caller_port), 1, 1, 65535, NULL},
-	{"operator_port", SETTING_NUMBER, FIELD(operator_port), 1, 1, 65535,
-	 NULL},
-	{"operator_address", SETTING_IP, FIELD(operator_address), 0, 0, 0,
-	 NULL},
-	{"failure_domain", SETTING_TEXT, FIELD(failure_domain), 1, 0, 0, NULL},
-	{"store", SETTING_ADDRESS, FIELD(store), 1, 0, 0, NULL},
-	{"distribution", SETTING_CHOICE, FIELD(distribution.mode), 0, 0, 0,
-	 modes},
-	{"router_policy", SETTING_CHOICE, FIELD(router_policy), 0, 0, 0,
-	 router_policies},
-	{"admission_policy", SETTING_CHOICE, FIELD(admission_policy), 0, 0, 0,
-	 admission_policies},
+	{ "address", SETTING_IP, FIELD(address), 1, 0, 0, NULL },
+	{ "peer_port", SETTING_NUMBER, FIELD(peer_port), 1, 1, 65535, NULL },
+	{ "caller_port", SETTING_NUMBER, FIELD(caller_port), 1, 1, 65535,
+	  NULL },
+	{ "operator_port", SETTING_NUMBER, FIELD(operator_port), 1, 1, 65535,
+	  NULL },
+	{ "operator_address", SETTING_IP, FIELD(operator_address), 0, 0, 0,
+	  NULL },
+	{ "failure_domain", SETTING_TEXT, FIELD(failure_domain), 1, 0, 0,
+	  NULL },
+	{ "store", SETTING_ADDRESS, FIELD(store), 1, 0, 0, NULL },
+	{ "distribution", SETTING_CHOICE, FIELD(distribution.mode), 0, 0, 0,
+	  modes },
+	{ "router_policy", SETTING_CHOICE, FIELD(router_policy), 0, 0, 0,
+	  router_policies },
+	{ "admission_policy", SETTING_CHOICE, FIELD(admission_policy), 0, 0, 0,
+	  admission_policies },
 	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
 	NUMBER("drain_ms", drain_ms, 0, 600000),
 	NUMBER("claim_shards", claim_shards, 1, 256),
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -22,8 +22,8 @@
 	uint32_t claim_shards;
 	uint32_t claim_interval_ms; /* least time between commits of a shard */
 	uint32_t claim_retention_ms;
-	uint32_t deltas;      /* 1: push differences, 0: whole texts */
-	int router_policy;    /* enum router_policy */
+	uint32_t deltas; /* 1: push differences, 0: whole texts */
+	int router_policy; /* enum router_policy */
 	int admission_policy; /* enum admission_policy */
 	struct membership_settings membership;
 	struct distribution_settings distribution;
--- a/src/operator.c
+++ b/src/operator.c
@@ -177,7 +177,7 @@
 	size_t size = 0;
 	const char *text =
 		node->snapshot ? snapshot_text(node->snapshot, &size) : "";
-	struct http_header header = {"content-type", "text/plain"};
+	struct http_header header = { "content-type", "text/plain" };
 
 	http_exchange_reply(exchange, node->snapshot ? 200 : 503, &header, 1,
 			    text, size);
--- a/src/program.c
+++ b/src/program.c
@@ -14,9 +14,9 @@
 {
 	gboolean version = FALSE;
 	const GOptionEntry version_entry[] = {
-		{"version", 0, 0, G_OPTION_ARG_NONE, &version,
-		 "Print the version and exit", NULL},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &version,
+		  "Print the version and exit", NULL },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	GOptionContext *context = g_option_context_new(usage);
 	GError *error = NULL;
--- a/src/router.c
+++ b/src/router.c
@@ -343,7 +343,7 @@
 
 void router_expire(struct router *r, uint64_t now_ms, uint64_t idle_ms)
 {
-	struct expiry expiry = {now_ms, idle_ms};
+	struct expiry expiry = { now_ms, idle_ms };
 
 	g_hash_table_foreach_remove(r->evidence, evidence_is_old, &expiry);
 }
--- a/src/rules.c
+++ b/src/rules.c
@@ -9,13 +9,13 @@
 
 struct rules {
 	GArray *services; /* struct service_rule */
-	GArray *routes;	  /* struct route_rule */
+	GArray *routes; /* struct route_rule */
 };
 
 struct parser {
 	struct rules *rules;
 	GHashTable *service_names; /* name -> line */
-	GHashTable *route_keys;	   /* method, host and prefix -> line */
+	GHashTable *route_keys; /* method, host and prefix -> line */
 	uint32_t line;
 	struct diagnostic *diagnostics;
 	size_t max;
@@ -272,7 +272,7 @@
 static void parse_route(struct parser *p, const struct field *fields, size_t n)
 {
 	struct route_rule rule = {
-		.contract = {CALL_CLASS_URGENT, 0, 0, RULES_RETRIES_DEFAULT},
+		.contract = { CALL_CLASS_URGENT, 0, 0, RULES_RETRIES_DEFAULT },
 		.line = p->line,
 	};
 	struct field key, value;
@@ -461,7 +461,7 @@
 int rules_parse(const char *text, size_t size, struct rules **out,
 		struct diagnostic *diagnostics, size_t max, size_t *count)
 {
-	struct parser p = {.diagnostics = diagnostics, .max = max};
+	struct parser p = { .diagnostics = diagnostics, .max = max };
 	int error = FESCUE_OK;
 
 	*out = NULL;
--- a/src/settings.c
+++ b/src/settings.c
@@ -176,7 +176,7 @@
 		   const struct setting *table, size_t count, void *out,
 		   char message[SETTINGS_ERROR_BYTES])
 {
-	struct reader r = {path, table, count, out, message};
+	struct reader r = { path, table, count, out, message };
 	json_error_t where;
 	json_t *object = json_loadb(text, size, JSON_REJECT_DUPLICATES, &where);
 	int error;
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,11 +8,11 @@
 #include <stdint.h>
 
 enum setting_type {
-	SETTING_NUMBER,	 /* uint32_t */
-	SETTING_TEXT,	 /* char[SETTING_TEXT_BYTES] */
+	SETTING_NUMBER, /* uint32_t */
+	SETTING_TEXT, /* char[SETTING_TEXT_BYTES] */
 	SETTING_ADDRESS, /* struct address, "IP:PORT" */
-	SETTING_IP,	 /* uint32_t in host byte order */
-	SETTING_CHOICE,	 /* int, index into choices */
+	SETTING_IP, /* uint32_t in host byte order */
+	SETTING_CHOICE, /* int, index into choices */
 };
 
 #define SETTING_TEXT_BYTES 64
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -33,9 +33,9 @@
 struct snapshot {
 	int refs;
 	struct compiled_rules *compiled;
-	GArray *hosts;		 /* struct snapshot_host, grouped by service */
-	GArray *services;	 /* struct service_entry */
-	GArray *routes;		 /* struct effective_route */
+	GArray *hosts; /* struct snapshot_host, grouped by service */
+	GArray *services; /* struct service_entry */
+	GArray *routes; /* struct effective_route */
 	uint32_t *route_of_rule; /* NO_ROUTE when withdrawn */
 	GStringChunk *strings;
 };
@@ -62,7 +62,7 @@
 static void add_service(struct snapshot *s, const struct service_rule *rule,
 			const struct snapshot_host *hosts, size_t host_count)
 {
-	struct service_entry entry = {rule, s->hosts->len, 0};
+	struct service_entry entry = { rule, s->hosts->len, 0 };
 
 	for (size_t i = 0; i < host_count; i++) {
 		struct snapshot_host copy = hosts[i];
@@ -99,7 +99,8 @@
 	s->route_of_rule = g_new(uint32_t, n + 1);
 	for (uint32_t i = 0; i < n; i++) {
 		struct effective_route route = {
-			i, find_service(s, rules_route(rules, i)->service)};
+			i, find_service(s, rules_route(rules, i)->service)
+		};
 
 		s->route_of_rule[i] = NO_ROUTE;
 		if (route.service == NO_ROUTE)
@@ -247,7 +248,8 @@
 					     struct route_handle route)
 {
 	struct service_handle service = {
-		effective_route(snapshot, route)->service};
+		effective_route(snapshot, route)->service
+	};
 
 	return service;
 }
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -71,7 +71,7 @@
 	result->size = call->single.size;
 	result->lease = (uint64_t)json_integer_value(lease);
 	for (size_t i = 0; i < json_array_size(items); i++) {
-		struct store_item item = {0};
+		struct store_item item = { 0 };
 
 		read_item(json_array_get(items, i), &item);
 		g_array_append_val(call->items, item);
@@ -111,7 +111,7 @@
 static void on_done(void *data, const struct http_result *http)
 {
 	struct store_call *call = data;
-	struct store_result result = {0};
+	struct store_result result = { 0 };
 
 	count(call, http);
 	if (http->error) {
@@ -151,8 +151,9 @@
 	    uint32_t timeout_ms,
 	    void (*done)(void *, const struct store_result *), void *data)
 {
-	struct http_request request = {
-		.method = method, .path = path, .timeout_ms = timeout_ms};
+	struct http_request request = { .method = method,
+					.path = path,
+					.timeout_ms = timeout_ms };
 	struct store_call *call = send_request(client, &request, done, data);
 
 	g_free(path);
@@ -208,11 +209,11 @@
 	char *path = g_strdup_printf("/v1/keys/%s?if_revision=%" PRIu64
 				     "&lease=%" PRIu64,
 				     key, if_revision, lease);
-	struct http_request request = {.method = "PUT",
-				       .path = path,
-				       .body = value,
-				       .body_size = size,
-				       .timeout_ms = STORE_TIMEOUT_MS};
+	struct http_request request = { .method = "PUT",
+					.path = path,
+					.body = value,
+					.body_size = size,
+					.timeout_ms = STORE_TIMEOUT_MS };
 	struct store_call *call = send_request(client, &request, done, data);
 
 	g_free(path);
--- a/src/store_client.h
+++ b/src/store_client.h
@@ -31,7 +31,7 @@
 	 * FESCUE_EINVAL when the answer made no sense.
 	 */
 	int error;
-	int unsettled;	   /* a failed write may still have taken effect */
+	int unsettled; /* a failed write may still have taken effect */
 	uint64_t revision; /* of the key; 0 when it does not exist */
 	const char *value; /* NULL when only the revision was asked for */
 	size_t size;
--- a/src/text_diff.c
+++ b/src/text_diff.c
@@ -25,7 +25,7 @@
 	for (size_t start = 0; start < size;) {
 		const char *newline = memchr(text + start, '\n', size - start);
 		size_t end = newline ? (size_t)(newline - text) : size;
-		struct line line = {text + start, end - start};
+		struct line line = { text + start, end - start };
 
 		g_array_append_val(lines, line);
 		start = end + 1;
--- a/src/transport.c
+++ b/src/transport.c
@@ -33,7 +33,7 @@
 	uv_udp_t udp;
 	uv_tcp_t listener;
 	GHashTable *links; /* peer -> struct link to send on */
-	GPtrArray *all;	   /* every link that is not closed */
+	GPtrArray *all; /* every link that is not closed */
 	char buffer[READ_BUFFER_BYTES];
 	int stopped;
 };
--- a/src/version_text.c
+++ b/src/version_text.c
@@ -13,8 +13,8 @@
 struct version_text version_text_copy(uint64_t version, const char *bytes,
 				      size_t size)
 {
-	struct version_text text = {version, config_hash(bytes, size),
-				    g_malloc(size + 1), size};
+	struct version_text text = { version, config_hash(bytes, size),
+				     g_malloc(size + 1), size };
 
 	memcpy(text.bytes, bytes, size);
 	text.bytes[size] = '\0';
@@ -86,8 +86,8 @@
 {
 	const struct version_text *base = version_history_find(
 		history, push->base_version, push->base_hash);
-	struct delta delta = {push->prefix_bytes, push->suffix_bytes,
-			      (const char *)push->body.data, push->body.len};
+	struct delta delta = { push->prefix_bytes, push->suffix_bytes,
+			       (const char *)push->body.data, push->body.len };
 
 	if (!base || delta_apply(base->bytes, base->size, &delta, &out->bytes,
 				 &out->size))
--- a/standin/backend_standin.c
+++ b/standin/backend_standin.c
@@ -45,10 +45,10 @@
 	GRand *random;
 	uint32_t in_use;
 	uint32_t slow_factor;
-	uint32_t shed;		/* answer 503 to everything */
-	uint32_t lie;		/* report healthy and idle */
+	uint32_t shed; /* answer 503 to everything */
+	uint32_t lie; /* report healthy and idle */
 	uint32_t short_answers; /* of the next calls: cut in the body */
-	uint32_t lag_ms;	/* age of the load report */
+	uint32_t lag_ms; /* age of the load report */
 	uint64_t started_ms;
 	uint64_t drain_since_ms;
 	uint32_t load_reported;
@@ -127,8 +127,8 @@
 static void work_reply(struct work *w, int status)
 {
 	struct http_header headers[] = {
-		{"x-echo-id", w->id},
-		{"content-type", "text/plain"},
+		{ "x-echo-id", w->id },
+		{ "content-type", "text/plain" },
 	};
 	size_t size;
 	char *body = create_body(w, &size);
@@ -158,10 +158,10 @@
 {
 	char chain[16], deadline[16], depth[16], id[TEXT_MAX + 16];
 	struct http_header headers[] = {
-		{"x-chain", chain},
-		{"x-fescue-deadline-ms", deadline},
-		{"x-fescue-depth", depth},
-		{"x-request-id", id},
+		{ "x-chain", chain },
+		{ "x-fescue-deadline-ms", deadline },
+		{ "x-fescue-depth", depth },
+		{ "x-request-id", id },
 	};
 	struct http_request request = {
 		.method = "GET",
@@ -203,8 +203,8 @@
 static void refuse(struct http_exchange *exchange, const char *reason)
 {
 	struct http_header headers[] = {
-		{"x-fescue-outcome", "not-run"},
-		{"content-type", "text/plain"},
+		{ "x-fescue-outcome", "not-run" },
+		{ "content-type", "text/plain" },
 	};
 
 	http_exchange_reply(exchange, 503, headers, G_N_ELEMENTS(headers),
@@ -415,30 +415,30 @@
 int main(int argc, char **argv)
 {
 	static const GOptionEntry entries[] = {
-		{"listen", 0, 0, G_OPTION_ARG_STRING, &options.listen,
-		 "Address to serve on", "IP:PORT"},
-		{"node", 0, 0, G_OPTION_ARG_STRING, &options.node,
-		 "Operator port of the node beside it", "IP:PORT"},
-		{"callers", 0, 0, G_OPTION_ARG_STRING, &options.callers,
-		 "Caller port of that node, for chained calls", "IP:PORT"},
-		{"service", 0, 0, G_OPTION_ARG_STRING, &options.service,
-		 "Service to announce", "NAME"},
-		{"events", 0, 0, G_OPTION_ARG_FILENAME, &options.events,
-		 "Append runs for fescue-check to a file", "FILE"},
-		{"slots", 0, 0, G_OPTION_ARG_INT, &options.slots,
-		 "Runs at one time", "N"},
-		{"connections", 0, 0, G_OPTION_ARG_INT, &options.connections,
-		 "Connections at one time", "N"},
-		{"work-ms", 0, 0, G_OPTION_ARG_INT, &options.work_ms,
-		 "Mean time of a run", "MS"},
-		{"cold-ms", 0, 0, G_OPTION_ARG_INT, &options.cold_ms,
-		 "Time after the start in which runs take five times as long",
-		 "MS"},
-		{"answer-bytes", 0, 0, G_OPTION_ARG_INT, &options.answer_bytes,
-		 "Least size of an answer", "N"},
-		{"seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
-		 "Seed of the work times", "N"},
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ "listen", 0, 0, G_OPTION_ARG_STRING, &options.listen,
+		  "Address to serve on", "IP:PORT" },
+		{ "node", 0, 0, G_OPTION_ARG_STRING, &options.node,
+		  "Operator port of the node beside it", "IP:PORT" },
+		{ "callers", 0, 0, G_OPTION_ARG_STRING, &options.callers,
+		  "Caller port of that node, for chained calls", "IP:PORT" },
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &options.service,
+		  "Service to announce", "NAME" },
+		{ "events", 0, 0, G_OPTION_ARG_FILENAME, &options.events,
+		  "Append runs for fescue-check to a file", "FILE" },
+		{ "slots", 0, 0, G_OPTION_ARG_INT, &options.slots,
+		  "Runs at one time", "N" },
+		{ "connections", 0, 0, G_OPTION_ARG_INT, &options.connections,
+		  "Connections at one time", "N" },
+		{ "work-ms", 0, 0, G_OPTION_ARG_INT, &options.work_ms,
+		  "Mean time of a run", "MS" },
+		{ "cold-ms", 0, 0, G_OPTION_ARG_INT, &options.cold_ms,
+		  "Time after the start in which runs take five times as long",
+		  "MS" },
+		{ "answer-bytes", 0, 0, G_OPTION_ARG_INT, &options.answer_bytes,
+		  "Least size of an answer", "N" },
+		{ "seed", 0, 0, G_OPTION_ARG_INT, &options.seed,
+		  "Seed of the work times", "N" },
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	static struct backend backend;
 
--- a/standin/store_call.h
+++ b/standin/store_call.h
@@ -24,7 +24,7 @@
 	struct store *store;
 	struct http_exchange *exchange; /* NULL when the client left */
 	enum call_type type;
-	char *key;	 /* or prefix */
+	char *key; /* or prefix */
 	uint64_t number; /* expected revision, watch base, lease or ttl */
 	uint64_t lease;
 	uint64_t timeout_ms;
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -33,17 +33,17 @@
 
 struct store {
 	uv_loop_t *loop;
-	GTree *entries;	    /* key -> struct entry */
+	GTree *entries; /* key -> struct entry */
 	GHashTable *leases; /* id -> struct lease */
 	GPtrArray *watches; /* struct call */
-	GPtrArray *hung;    /* struct call held by an outage */
+	GPtrArray *hung; /* struct call held by an outage */
 	uint64_t revision;
 	uint64_t next_lease;
 	enum outage outage;
 	uint32_t delay_ms;
 	uint32_t lose_answers; /* of the next writes */
-	uint32_t rate_cap;     /* calls a second, 0: none */
-	uint64_t second;       /* of the rates below */
+	uint32_t rate_cap; /* calls a second, 0: none */
+	uint64_t second; /* of the rates below */
 	uint64_t reads_now, writes_now;
 	uint64_t reads, writes, watch_calls, refused, lost;
 	uint64_t peak_reads, peak_writes; /* in one second */
@@ -148,7 +148,7 @@
 
 static void do_list(struct call *c)
 {
-	struct listing listing = {c->key, json_array()};
+	struct listing listing = { c->key, json_array() };
 
 	g_tree_foreach(c->store->entries, list_entry, &listing);
 	reply(c, 200, json_pack("{s:o}", "items", listing.items));
@@ -477,7 +477,7 @@
 static void on_sweep(uv_timer_t *timer)
 {
 	struct store *s = timer->data;
-	struct sweep sweep = {s->leases, NULL};
+	struct sweep sweep = { s->leases, NULL };
 
 	if (!g_hash_table_foreach_remove(s->leases, lease_expired, s))
 		return;
@@ -506,7 +506,7 @@
 int main(int argc, char **argv)
 {
 	static const GOptionEntry entries[] = {
-		{NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL},
+		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	static struct store store;
 	struct http_server *server;
--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -51,15 +51,15 @@
 	uint64_t boot_at = 0, watch_at = 0, record_at = 0, probe_at = 0;
 	uint64_t watch_after = 0;
 	uint64_t version = 0; /* in force in this life */
-	uint64_t served = 0;  /* highest at this address in any life */
+	uint64_t served = 0; /* highest at this address in any life */
 	std::multimap<uint64_t, sim_packet> inbox;
 };
 
 /* Faults planted to show that the checks find them. */
 enum sim_fault {
 	SIM_NO_FAULT,
-	SIM_NO_FLOOR,	 /* a starting node serves whatever it gets first */
-	SIM_NO_REPAIR,	 /* requests for a missing version are lost */
+	SIM_NO_FLOOR, /* a starting node serves whatever it gets first */
+	SIM_NO_REPAIR, /* requests for a missing version are lost */
 	SIM_STALE_STORE, /* the store hands out a text nobody accepted */
 };
 
@@ -167,8 +167,8 @@
 		if (!n || !reachable(from, *n) || chance(loss))
 			return;
 		for (int copies = chance(duplicate) ? 2 : 1; copies; copies--)
-			n->inbox.insert({now + 1 + draw(0, delay_ms + 1),
-					 {from.address, to, bytes}});
+			n->inbox.insert({ now + 1 + draw(0, delay_ms + 1),
+					  { from.address, to, bytes } });
 	}
 	void flush(sim_node &n, struct outbox &outbox)
 	{
@@ -261,7 +261,7 @@
 	{
 		struct membership *m = n.membership;
 
-		membership_set_confirmed(m, n.floor.confirmed);
+		membership_set_floor(m, n.floor.confirmed, n.floor.version);
 		if (!n.floor.confirmed && now >= n.probe_at) {
 			membership_ask_peers(m, 32, &outbox);
 			n.probe_at = now + 1000;
@@ -284,7 +284,8 @@
 				membership_join(n.membership, r.second.first,
 						&outbox);
 		store.records[n.domain + "/" + std::to_string(rank)] = {
-			n.address, now + SIM_RECORD_TTL_MS};
+			n.address, now + SIM_RECORD_TTL_MS
+		};
 	}
 	void watch(sim_node &n, struct outbox &outbox)
 	{
--- /dev/null
+++ b/test/system/store_outage.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# The store goes out right after a change is accepted, and stays out while
+# nodes restart; both kinds of outage.
+set -eu
+. "$(dirname "$0")/common.sh"
+scenario store_outage
+start_ereszkor
+start_load 24 100
+i=0
+for outage in refuse hang
+do
+	i=$((i + 1))
+	change_rules $i >/dev/null
+	store_faults ereszkor "{\"outage\": \"$outage\"}"
+	sleep 1
+	test "$(versions | sort -u | wc -l)" = 1 ||
+		fail "the change did not spread: $(versions)"
+	fleet_kill ereszkor-node-4
+	sleep 0.3
+	start_node ereszkor 4
+	sleep 7
+	test "$(status_of ereszkor 4 .ready)" = true ||
+		fail "the node did not start from its peers"
+	store_faults ereszkor '{"outage": "none"}'
+	sleep 3
+done
+finish_load
+judge
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -128,7 +128,7 @@
 {
 	std::vector<uint64_t> reads;
 
-	for (int count : {9, 18, 60}) {
+	for (int count : { 9, 18, 60 }) {
 		fleet_sim sim(5, count, 3);
 
 		start_all(sim);
@@ -281,6 +281,17 @@
 	}
 }
 
+/* Histories in which a fault of the program was found and mended. */
+TEST(distribution, histories_that_once_failed)
+{
+	for (int seed : { 5682, 60162 }) {
+		fleet_sim sim(10000 + seed, 3 + seed % 6, 1 + seed % 3);
+
+		run_history(sim);
+		sim.expect_good();
+	}
+}
+
 /* The first seed whose history shows the planted fault, or -1. */
 int first_finding(enum sim_fault fault, const char *what)
 {
--- a/test/test_envelope.cc
+++ b/test/test_envelope.cc
@@ -58,9 +58,9 @@
 	GRand *random = g_rand_new_with_seed(9);
 
 	for (const char *bad :
-	     {"", "\n", "fescue 1\n", "fescue 1 12\n",
-	      "fescue 2 0000000000000001\n", "fescue 1 000000000000000g\n",
-	      "fescue 1 0000000000000001"})
+	     { "", "\n", "fescue 1\n", "fescue 1 12\n",
+	       "fescue 2 0000000000000001\n", "fescue 1 000000000000000g\n",
+	       "fescue 1 0000000000000001" })
 		EXPECT_EQ(envelope_parse(bad, strlen(bad), &e), FESCUE_EINVAL)
 			<< bad;
 	for (int i = 0; i < 20000; i++) {
@@ -104,7 +104,7 @@
 
 TEST(delta, wrong_base_is_refused)
 {
-	struct delta d = {5, 5, "", 0};
+	struct delta d = { 5, 5, "", 0 };
 	char *out;
 	size_t size;
 
--- a/test/test_retry.cc
+++ b/test/test_retry.cc
@@ -12,16 +12,16 @@
 struct retry_question question(struct contract *contract,
 			       enum call_outcome outcome)
 {
-	struct retry_question q = {contract, 1, outcome, 0, 100};
+	struct retry_question q = { contract, 1, outcome, 0, 100 };
 
 	return q;
 }
 
 TEST(retry, only_safe_calls_are_attempted_again)
 {
-	struct contract plain = {CALL_CLASS_URGENT, 0, 100, 3};
-	struct contract idempotent = {CALL_CLASS_URGENT, 1, 100, 3};
-	struct retry_budget budget = {10};
+	struct contract plain = { CALL_CLASS_URGENT, 0, 100, 3 };
+	struct contract idempotent = { CALL_CLASS_URGENT, 1, 100, 3 };
+	struct retry_budget budget = { 10 };
 	struct retry_question q = question(&plain, CALL_NOT_RUN);
 
 	EXPECT_TRUE(retry_allow(&budget, &q));
@@ -35,8 +35,8 @@
 
 TEST(retry, bounds)
 {
-	struct contract c = {CALL_CLASS_URGENT, 1, 100, 2};
-	struct retry_budget budget = {10};
+	struct contract c = { CALL_CLASS_URGENT, 1, 100, 2 };
+	struct retry_budget budget = { 10 };
 	struct retry_question q = question(&c, CALL_NOT_RUN);
 
 	q.attempts = 3;
@@ -53,8 +53,8 @@
 /* While everything fails, retries stay a tenth of the calls. */
 TEST(retry, budget_bounds_amplification)
 {
-	struct contract c = {CALL_CLASS_URGENT, 1, 100, 5};
-	struct retry_budget budget = {RETRY_TOKENS_MAX};
+	struct contract c = { CALL_CLASS_URGENT, 1, 100, 5 };
+	struct retry_budget budget = { RETRY_TOKENS_MAX };
 	struct retry_question q = question(&c, CALL_NOT_RUN);
 	int retries = 0;
 
@@ -73,7 +73,7 @@
 
 	for (uint64_t i = 1; i <= 100000; i++)
 		histogram_record(&h, i);
-	for (double share : {0.01, 0.5, 0.9, 0.99, 0.999}) {
+	for (double share : { 0.01, 0.5, 0.9, 0.99, 0.999 }) {
 		double value = (double)histogram_percentile(&h, share);
 
 		EXPECT_GE(value, share * 100000 * 0.99);
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -60,7 +60,7 @@
 
 TEST(router, own_domain_first_while_it_has_room)
 {
-	fixture f({{1, "a", "x", 2}, {2, "a", "y", 2}});
+	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "y", 2 } });
 
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ(f.choose("x", 1000), 1u);
@@ -72,8 +72,8 @@
 
 TEST(router, reported_load_ages)
 {
-	fixture f({{1, "a", "x", 2}, {2, "a", "y", 2}});
-	struct router_load full = {2, 4, 2};
+	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "y", 2 } });
+	struct router_load full = { 2, 4, 2 };
 
 	router_started(f.router, 1, 1000);
 	router_finished(f.router, 1, ROUTER_REFUSED, 1, &full, 1000);
@@ -83,16 +83,16 @@
 
 TEST(router, excluded_hosts_are_not_chosen)
 {
-	fixture f({{1, "a", "x", 2}, {2, "a", "x", 2}});
+	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "x", 2 } });
 
 	for (int i = 0; i < 50; i++)
-		EXPECT_EQ(f.choose("x", 1000, {1}), 2u);
-	EXPECT_EQ(f.choose("x", 1000, {1, 2}), 0u);
+		EXPECT_EQ(f.choose("x", 1000, { 1 }), 2u);
+	EXPECT_EQ(f.choose("x", 1000, { 1, 2 }), 0u);
 }
 
 TEST(router, failing_host_is_ejected_and_returns)
 {
-	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}});
+	fixture f({ { 1, "a", "x", 9 }, { 2, "a", "x", 9 } });
 
 	for (int i = 0; i < 3; i++)
 		f.fail(1, 1000);
@@ -109,10 +109,11 @@
 
 TEST(router, never_ejects_most_hosts)
 {
-	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}, {3, "a", "x", 9}});
+	fixture f(
+		{ { 1, "a", "x", 9 }, { 2, "a", "x", 9 }, { 3, "a", "x", 9 } });
 	std::map<uint64_t, int> chosen;
 
-	for (uint64_t host : {1, 2})
+	for (uint64_t host : { 1, 2 })
 		for (int i = 0; i < 3; i++)
 			f.fail(host, 1000);
 	for (int i = 0; i < 300; i++)
@@ -124,11 +125,11 @@
 
 TEST(router, slow_host_gets_less)
 {
-	fixture f({{1, "a", "x", 9}, {2, "a", "x", 9}});
+	fixture f({ { 1, "a", "x", 9 }, { 2, "a", "x", 9 } });
 	std::map<uint64_t, int> chosen;
 
 	for (int i = 0; i < 20; i++)
-		for (uint64_t host : {1, 2}) {
+		for (uint64_t host : { 1, 2 }) {
 			router_started(f.router, host, 1000);
 			router_finished(f.router, host, ROUTER_ANSWERED,
 					host == 1 ? 50000 : 5000, nullptr,
@@ -141,10 +142,10 @@
 
 TEST(router, new_host_starts_slowly)
 {
-	fixture f({{1, "a", "x", 10}});
+	fixture f({ { 1, "a", "x", 10 } });
 
 	f.choose("x", 1000); /* the first hosts seen are not cold */
-	snapshot_host both[] = {{1, "a", "x", 10}, {2, "a", "x", 10}};
+	snapshot_host both[] = { { 1, "a", "x", 10 }, { 2, "a", "x", 10 } };
 	struct snapshot *next = snapshot_with_hosts(f.snapshot, both, 2);
 	snapshot_unref(f.snapshot);
 	f.snapshot = next;
@@ -162,7 +163,8 @@
  */
 TEST(router, random_events_keep_counts)
 {
-	fixture f({{1, "a", "x", 3}, {2, "a", "y", 3}, {3, "a", "z", 3}});
+	fixture f(
+		{ { 1, "a", "x", 3 }, { 2, "a", "y", 3 }, { 3, "a", "z", 3 } });
 	GRand *random = g_rand_new_with_seed(8);
 	std::vector<uint64_t> running;
 	uint64_t now = 1000;
@@ -177,7 +179,7 @@
 			running.push_back(host);
 		} else {
 			size_t at = g_rand_int_range(random, 0, running.size());
-			struct router_load load = {1, 0, 3};
+			struct router_load load = { 1, 0, 3 };
 
 			router_finished(f.router, running[at],
 					(enum router_result)g_rand_int_range(
@@ -189,7 +191,7 @@
 			router_expire(f.router, now, 5);
 	}
 	size_t total = 0;
-	for (uint64_t host : {1, 2, 3})
+	for (uint64_t host : { 1, 2, 3 })
 		total += router_outstanding(f.router, host);
 	EXPECT_EQ(total, running.size());
 	g_rand_free(random);
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -82,9 +82,9 @@
 	EXPECT_EQ(address_key(address_from_key(address_key(a))),
 		  address_key(a));
 	for (const char *bad :
-	     {"", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
-	      "127.0.0.1:65536", "127.0.0.1:1x", "127.0.0.256:1", "a:1",
-	      "127.0.0.1:-1"})
+	     { "", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+	       "127.0.0.1:65536", "127.0.0.1:1x", "127.0.0.256:1", "a:1",
+	       "127.0.0.1:-1" })
 		EXPECT_EQ(address_parse(bad, &a), FESCUE_EINVAL) << bad;
 }
 
--- a/test/test_snapshot.cc
+++ b/test/test_snapshot.cc
@@ -36,7 +36,7 @@
 
 TEST(snapshot, routes_follow_the_hosts)
 {
-	struct snapshot *s = compile(7, {{1, "a", "d", 2}});
+	struct snapshot *s = compile(7, { { 1, "a", "d", 2 } });
 	struct route_handle route;
 
 	EXPECT_EQ(snapshot_version(s), 7u);
@@ -54,7 +54,7 @@
 /* A withdrawn route does not fall back to a less specific service. */
 TEST(snapshot, withdrawn_route_hides_shorter_prefix)
 {
-	struct snapshot *s = compile(1, {{1, "a", "d", 2}});
+	struct snapshot *s = compile(1, { { 1, "a", "d", 2 } });
 	struct route_handle route;
 
 	EXPECT_EQ(find(s, "/a/deep/x", &route), ROUTE_WITHDRAWN);
@@ -86,9 +86,9 @@
 		struct route_handle route;
 
 		for (int j = g_rand_int_range(random, 0, 6); j > 0; j--)
-			hosts.push_back({(uint64_t)j,
-					 g_rand_boolean(random) ? "a" : "b",
-					 "d", 1});
+			hosts.push_back({ (uint64_t)j,
+					  g_rand_boolean(random) ? "a" : "b",
+					  "d", 1 });
 		next = snapshot_with_hosts(s, hosts.data(), hosts.size());
 		snapshot_unref(s);
 		s = next;
@@ -111,7 +111,7 @@
 TEST(snapshot_death, foreign_handle_is_caught)
 {
 	struct snapshot *s = compile(1, {});
-	struct route_handle route = {3};
+	struct route_handle route = { 3 };
 
 	EXPECT_DEATH(snapshot_route(s, route), "");
 	snapshot_unref(s);
