--- /dev/null
+++ b/script/experiments/_measure.sh
@@ -0,0 +1,163 @@
+# Functions shared by the experiments: generated fleets and measurements.
+
+# generate_fleet NODES DOMAINS SERVICES JQ-SETTINGS: settings of a fleet named
+# "sized" in $settings_dir; host i serves service s<i mod SERVICES>.
+generate_fleet() {
+	local nodes=$1 domains=$2 services=$3 extra=$4 i
+	settings_dir=$out/settings
+	rm -rf "$settings_dir"
+	mkdir -p "$settings_dir"
+	for i in $(seq "$nodes")
+	do
+		cat >"$settings_dir/host-$i.json" <<-JSON
+		{"address": "127.1.$((i / 200)).$((i % 200 + 1))",
+		 "operator_address": "127.1.$((i / 200)).$((i % 200 + 1))",
+		 "peer_port": 7000, "caller_port": 8000, "operator_port": 9000,
+		 "failure_domain": "domain-$((i % domains))",
+		 "store": "127.1.100.100:7100"$extra}
+		JSON
+		echo "$i s$((i % services))" >>"$settings_dir/hosts"
+	done
+	store=127.1.100.100:7100
+}
+
+# generate_rules FILE LINES SERVICES
+generate_rules() {
+	local i
+	for i in $(seq 0 $(($3 - 1)))
+	do
+		echo "service s$i # generated"
+	done >"$1"
+	for i in $(seq "$2")
+	do
+		echo "route GET */r$i/ s$((i % $3)) idempotent=yes # generated"
+	done >>"$1"
+}
+
+start_sized_store() {
+	fleet_run sized-store "$bin/fescue-store-standin" "$store"
+	wait_http "$store/control/counters"
+}
+
+start_sized_nodes() {
+	local number service
+	while read -r number service
+	do
+		start_node sized "$number"
+	done < <(hosts_of sized)
+}
+
+start_sized_backends() {
+	local number service
+	while read -r number service
+	do
+		start_backend sized "$number" "$service" "$@"
+	done < <(hosts_of sized)
+}
+
+stop_sized() {
+	local name
+	for name in "${!fleet_pids[@]}"
+	do
+		fleet_kill "$name"
+	done
+	rm -f "$out"/*.events "$out"/*.log
+}
+
+sized_apply() {
+	"$bin/fescuectl" --store "$store" --events "$out/accepted.events" \
+		apply "$1" >/dev/null
+}
+
+# change_sized FILE NUMBER: change the last line and apply.
+change_sized() {
+	local last
+	last=$(wc -l <"$1")
+	"$bin/fescuectl" edit "$1" --replace "$last" --with \
+		"route GET */last$2/ s0 idempotent=yes # change $2"
+	sized_apply "$1"
+}
+
+sized_counter() {
+	curl -s -m 2 "http://$store/control/counters" |
+	awk -v name="$1" '$1 == name { print $2 }'
+}
+
+# wait_sized_hosts N: until every node knows N hosts, 60 s at most.
+wait_sized_hosts() {
+	local want=$1 number service up i
+	for i in $(seq 60)
+	do
+		up=0
+		while read -r number service
+		do
+			test "$(status_of sized "$number" .hosts_up)" = "$want" &&
+			up=$((up + 1)) || break
+		done < <(hosts_of sized)
+		test "$up" = "$want" && return 0
+		sleep 1
+	done
+	echo "only $up of $want nodes know all hosts" >&2
+	return 1
+}
+
+# counter_sums: "name total" over all nodes, for the control counters.
+counter_sums() {
+	local number service urls=""
+	while read -r number service
+	do
+		urls="$urls http://$(node_ip sized "$number"):9000/counters"
+	done < <(hosts_of sized)
+	# shellcheck disable=SC2086
+	curl -s -m 5 $urls |
+	awk '{ n[$1] += $2 } END { for (k in n) print k, n[k] }'
+}
+
+sum_of() {
+	awk -v name="$2" '$1 == name { print $2 }' "$1"
+}
+
+# bytes_between BEFORE AFTER PURPOSE: sent and received
+bytes_between() {
+	echo $(($(sum_of "$2" "bytes_sent_$3") - $(sum_of "$1" "bytes_sent_$3") +
+		$(sum_of "$2" "bytes_received_$3") -
+		$(sum_of "$1" "bytes_received_$3")))
+}
+
+# cpu_ticks: total of all nodes, in hundredths of a second.
+cpu_ticks() {
+	local name total=0 ticks
+	for name in "${!fleet_pids[@]}"
+	do
+		case $name in sized-node-*)
+			ticks=$(awk '{ print $14 + $15 }' \
+				"/proc/${fleet_pids[$name]}/stat")
+			total=$((total + ticks));;
+		esac
+	done
+	echo $total
+}
+
+# max_memory_kb: largest resident size of a node.
+max_memory_kb() {
+	local name
+	for name in "${!fleet_pids[@]}"
+	do
+		case $name in sized-node-*)
+			awk '/^VmRSS/ { print $2 }' \
+				"/proc/${fleet_pids[$name]}/status";;
+		esac
+	done | sort -n | tail -n 1
+}
+
+check_field() {
+	sed -n "s/.*[ ]$2=\([0-9]*\).*/\1/p;s/^$2=\([0-9]*\).*/\1/p" "$1" |
+	tail -n 1
+}
+
+# row VALUES...: one line of the table, on screen and in the CSV.
+row() {
+	local IFS=,
+	echo "$*" >>"$out/table.csv"
+	echo "$*" | tr ',' '\t'
+}
--- a/src/member_table.c
+++ b/src/member_table.c
@@ -70,7 +70,7 @@
 }
 
 static struct member *add_member(struct member_table *t,
-				 const struct host *host)
+				 const struct host *host, int spread)
 {
 	struct member *member = g_new0(struct member, 1);
 
@@ -83,7 +83,8 @@
 		t->up_count++;
 		t->generation++;
 	}
-	queue_update(t, member);
+	if (spread)
+		queue_update(t, member);
 	return member;
 }
 
@@ -145,7 +146,8 @@
 		member_table_raise_own(t, theirs->incarnation);
 }
 
-void member_table_merge(struct member_table *t, const Fescue__Member *record)
+void member_table_merge(struct member_table *t, const Fescue__Member *record,
+			int spread)
 {
 	struct host host;
 	struct member *member;
@@ -159,7 +161,7 @@
 	}
 	member = member_table_find(t, host.address);
 	if (!member) {
-		add_member(t, &host);
+		add_member(t, &host, spread);
 	} else if (record_wins(&host, &member->host)) {
 		host.version = member->host.version;
 		store_record(t, member, &host);
@@ -252,7 +254,7 @@
 	t->members = g_ptr_array_new();
 	t->by_address = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_queue_init(&t->updates);
-	add_member(t, self);
+	add_member(t, self, 1);
 }
 
 void member_table_clear(struct member_table *t)
--- a/src/member_table.h
+++ b/src/member_table.h
@@ -41,9 +41,13 @@
 uint32_t member_bucket(uint64_t address);
 uint32_t member_table_digest(const struct member_table *table);
 
-/* Take a record if it wins; refute one that wrongs the own host. */
+/*
+ * Take a record if it wins; refute one that wrongs the own host. spread: pass
+ * a host heard of for the first time on; needless for a whole table, which
+ * others compare as well.
+ */
 void member_table_merge(struct member_table *table,
-			const Fescue__Member *record);
+			const Fescue__Member *record, int spread);
 
 /* Replace the own record, whose incarnation the caller has raised. */
 void member_table_update_own(struct member_table *table,
--- a/src/membership.c
+++ b/src/membership.c
@@ -120,9 +120,9 @@
 
 	if (!gossip)
 		return;
-	member_table_merge(&m->table, gossip->self);
+	member_table_merge(&m->table, gossip->self, 1);
 	for (size_t i = 0; i < gossip->n_updates; i++)
-		member_table_merge(&m->table, gossip->updates[i]);
+		member_table_merge(&m->table, gossip->updates[i], 1);
 	member = member_table_find(&m->table, from);
 	if (member) {
 		member->vouches = gossip->confirmed;
@@ -193,7 +193,7 @@
 		outbox_send(outbox, from, PACKET_REPAIR,
 			    create_sync_reply(m, wanted));
 	for (size_t i = 0; i < reply->n_members; i++)
-		member_table_merge(&m->table, reply->members[i]);
+		member_table_merge(&m->table, reply->members[i], 0);
 	m->synced = 1;
 }
 
