Claim keys in the store before calls that are not idempotent run

Each key is recorded in one of a fixed number of logs of create-if-absent records before its call runs; resends get the first answer while its host holds it, else are told that the outcome is unknown.

--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -3,6 +3,7 @@
 #include "caller.h"
 #include "fescue/error.h"
 #include "http_client.h"
+#include "keyed_calls.h"
 #include "log.h"
 
 #include <inttypes.h>
@@ -13,7 +14,12 @@
 #define IDLE_CONNECTIONS_MAX 128
 #define SLOTS_MAX 10000
 
-enum serving_state { SERVING_QUEUED, SERVING_CLAIMING, SERVING_RUNNING };
+enum serving_state {
+	SERVING_QUEUED,
+	SERVING_CLAIMING, /* holds a slot; its key is being recorded */
+	SERVING_RUNNING, /* holds a slot */
+	SERVING_WAITING, /* no slot: waits for the outcome of its key */
+};
 
 /* One call that was sent to this node's backend server. */
 struct serving {
@@ -25,6 +31,8 @@
 	uint64_t deadline_ms;
 	uint64_t started_us;
 	struct http_call *http;
+	char *key; /* claimed before the run; NULL: none */
+	uint64_t keyed_id;
 };
 
 struct backend_server {
@@ -64,6 +72,7 @@
 	if (s->http)
 		http_call_cancel(s->http);
 	fescue__call_request__free_unpacked(s->request, NULL);
+	g_free(s->key);
 	g_free(s);
 }
 
@@ -113,12 +122,18 @@
 					     CALL_CLASS_BACKGROUND :
 					     CALL_CLASS_URGENT;
 
-	if (s->state == SERVING_QUEUED) {
+	switch (s->state) {
+	case SERVING_QUEUED:
 		admission_cancel(b->admission, s->ticket);
-	} else {
+		break;
+	case SERVING_CLAIMING:
+	case SERVING_RUNNING:
 		admission_finish(b->admission, spent_us);
 		histogram_record(&b->node->counters.service_us[call_class],
 				 spent_us);
+		break;
+	case SERVING_WAITING:
+		break;
 	}
 	g_hash_table_remove(b->servings, &s->ticket);
 	start_next(b);
@@ -200,6 +215,8 @@
 	Fescue__Packet *packet = answer_of_result(s, result);
 
 	s->http = NULL;
+	if (s->key)
+		keyed_calls_finish(b->node->keyed, s->key, packet->call_answer);
 	send_answer(b, s->from, packet);
 	serving_end(s);
 }
@@ -234,6 +251,46 @@
 	g_free(headers);
 }
 
+/* A call that will not run here is answered with another run's outcome. */
+static void on_keyed_answer(void *data, const Fescue__CallAnswer *answer)
+{
+	struct serving *s = data;
+	struct backend_server *b = s->backend;
+	Fescue__CallAnswer copy = *answer;
+	Fescue__Packet packet = FESCUE__PACKET__INIT;
+
+	copy.call_id = s->request->call_id;
+	copy.in_use = admission_in_use(b->admission);
+	copy.queued = admission_queued(b->admission);
+	copy.slots = admission_slots(b->admission);
+	packet.body_case = FESCUE__PACKET__BODY_CALL_ANSWER;
+	packet.call_answer = &copy;
+	if (s->from == b->node->own)
+		caller_table_answer(b->node->callers, s->from, &copy);
+	else
+		transport_send(b->node->transport, s->from, PACKET_CALL,
+			       &packet);
+	serving_end(s);
+}
+
+static void on_keyed_run(void *data)
+{
+	run(data);
+}
+
+static void begin_keyed(struct serving *s)
+{
+	struct keyed_call_owner owner = { on_keyed_run, on_keyed_answer, s };
+	struct backend_server *b = s->backend;
+	uint64_t ticket = s->ticket, id;
+
+	id = keyed_calls_begin(b->node->keyed, s->key, s->deadline_ms, &owner);
+	/* It may have been answered at once. */
+	s = g_hash_table_lookup(b->servings, &ticket);
+	if (s)
+		s->keyed_id = id;
+}
+
 /* A call that holds a slot begins, unless its time ran out meanwhile. */
 static void begin(struct serving *s)
 {
@@ -248,7 +305,10 @@
 		serving_end(s);
 		return;
 	}
-	run(s);
+	if (s->key)
+		begin_keyed(s);
+	else
+		run(s);
 }
 
 static void start_next(struct backend_server *b)
@@ -282,15 +342,36 @@
 	s->from = from;
 	s->request = copy_request(request);
 	s->deadline_ms = node_now_ms(b->node) + request->deadline_ms;
+	if (!request->idempotent && *request->key)
+		s->key = g_strdup_printf("%s/%s", request->service,
+					 request->key);
 	g_hash_table_insert(b->servings, &s->ticket, s);
 	return s;
 }
 
+/* A resend of a key whose outcome is known here needs no slot. */
+static int serve_from_memory(struct backend_server *b, uint64_t from,
+			     const Fescue__CallRequest *request)
+{
+	struct serving *s;
+
+	if (request->idempotent || !*request->key)
+		return 0;
+	s = serving_create(b, from, request);
+	if (!keyed_calls_knows(b->node->keyed, s->key)) {
+		g_hash_table_remove(b->servings, &s->ticket);
+		b->next_ticket--;
+		return 0;
+	}
+	s->state = SERVING_WAITING;
+	begin_keyed(s);
+	return 1;
+}
+
 void backend_server_call(struct backend_server *b, uint64_t from,
 			 const Fescue__CallRequest *request)
 {
 	struct admission_call call = {
-		.ticket = b->next_ticket + 1,
 		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
 						    CALL_CLASS_URGENT,
 		.deadline_ms = node_now_ms(b->node) + request->deadline_ms,
@@ -299,11 +380,14 @@
 	};
 	enum admission_reason reason;
 
+	if (serve_from_memory(b, from, request))
+		return;
 	if (strcmp(request->service, b->service) || !b->pool) {
 		refuse(b, from, request->call_id,
 		       admission_reason_text(ADMISSION_NO_BACKEND));
 		return;
 	}
+	call.ticket = b->next_ticket + 1;
 	switch (admission_offer(b->admission, &call, node_now_ms(b->node),
 				&reason)) {
 	case ADMISSION_RUN:
@@ -326,6 +410,8 @@
 		http_call_cancel(s->http);
 		s->http = NULL;
 	}
+	if (s->keyed_id)
+		keyed_calls_abandon(s->backend->node->keyed, s->keyed_id);
 	serving_end(s);
 }
 
@@ -356,7 +442,7 @@
 		struct serving *s = g_ptr_array_index(found, i);
 
 		/* A call with effects runs on: it must not be cut half-way. */
-		if (s->state == SERVING_QUEUED || s->request->idempotent)
+		if (s->state != SERVING_RUNNING || s->request->idempotent)
 			cancel_serving(s);
 	}
 	g_ptr_array_free(found, TRUE);
--- a/src/caller.c
+++ b/src/caller.c
@@ -9,6 +9,7 @@
 
 #define ATTEMPTS_MAX (RULES_RETRIES_MAX + 1)
 #define DEPTH_MAX 16
+#define KEY_MAX_BYTES 128
 #define EVIDENCE_IDLE_MS 600000
 #define DEADLINE_GRACE_MS 20 /* for the target's own timeout to answer */
 
@@ -490,6 +491,20 @@
 	return FESCUE_ENOTFOUND;
 }
 
+/* Keys stand in records of the store, one a line. */
+static int key_is_good(const struct http_exchange *exchange)
+{
+	struct http_text key =
+		http_exchange_header(exchange, "idempotency-key");
+
+	if (key.bytes && (!key.size || key.size > KEY_MAX_BYTES))
+		return 0;
+	for (size_t i = 0; i < key.size; i++)
+		if (!g_ascii_isgraph(key.bytes[i]))
+			return 0;
+	return 1;
+}
+
 void caller_table_request(void *data, struct http_exchange *exchange)
 {
 	struct node *node = data;
@@ -500,6 +515,13 @@
 	const char *why;
 
 	node->counters.values[COUNTER_calls_received]++;
+	if (!key_is_good(exchange)) {
+		node->counters.values[COUNTER_calls_not_run]++;
+		reply_failure(exchange, 400, CALL_NOT_RUN,
+			      "idempotency-key must be 1 to 128 printable "
+			      "characters without blanks");
+		return;
+	}
 	if (!node_is_ready(node, &why) || depth >= DEPTH_MAX) {
 		node->counters.values[COUNTER_calls_not_run]++;
 		reply_failure(exchange, 503, CALL_NOT_RUN,
--- a/src/node.c
+++ b/src/node.c
@@ -3,8 +3,10 @@
 #include "backend_server.h"
 #include "bootstrap.h"
 #include "caller.h"
+#include "claim_task.h"
 #include "events.h"
 #include "fescue/error.h"
+#include "keyed_calls.h"
 #include "log.h"
 #include "operator.h"
 
@@ -201,12 +203,22 @@
 		backend_server_call(node->backend, from, packet->call_request);
 		break;
 	case FESCUE__PACKET__BODY_CALL_ANSWER:
-		caller_table_answer(node->callers, from, packet->call_answer);
+		if (!keyed_calls_take_answer(node->keyed, from,
+					     packet->call_answer))
+			caller_table_answer(node->callers, from,
+					    packet->call_answer);
 		break;
 	case FESCUE__PACKET__BODY_CALL_CANCEL:
 		backend_server_cancel(node->backend, from,
 				      packet->call_cancel->call_id);
 		break;
+	case FESCUE__PACKET__BODY_CLAIM_REQUEST:
+	case FESCUE__PACKET__BODY_CLAIM_REPLY:
+		claim_task_receive(node->claims, from, packet);
+		break;
+	case FESCUE__PACKET__BODY_REPLAY_REQUEST:
+		keyed_calls_replay(node->keyed, from, packet->replay_request);
+		break;
 	default:
 		receive_control(node, from, packet);
 		break;
@@ -263,6 +275,8 @@
 	}
 	distribution_tick(node->distribution, now_ms, &node->outbox);
 	bootstrap_tick(node->bootstrap);
+	claim_task_tick(node->claims);
+	keyed_calls_tick(node->keyed);
 	backend_server_tick(node->backend);
 	caller_table_tick(node->callers);
 	transport_expire(node->transport, LINK_IDLE_MS);
@@ -312,6 +326,8 @@
 	node->bootstrap = bootstrap_create(node, seed + 1);
 	node->backend = backend_server_create(node);
 	node->callers = caller_table_create(node, seed + 2);
+	node->claims = claim_task_create(node, seed + 3);
+	node->keyed = keyed_calls_create(node);
 }
 
 static int open_sockets(struct node *node)
@@ -381,6 +397,8 @@
 		transport_stop(node->transport);
 	caller_table_destroy(node->callers);
 	backend_server_destroy(node->backend);
+	keyed_calls_destroy(node->keyed);
+	claim_task_destroy(node->claims);
 	bootstrap_destroy(node->bootstrap);
 	store_client_destroy(node->store);
 	distribution_destroy(node->distribution);
--- a/src/node.h
+++ b/src/node.h
@@ -21,6 +21,8 @@
 struct bootstrap;
 struct backend_server;
 struct caller_table;
+struct claim_task;
+struct keyed_calls;
 struct operator_page;
 
 struct node {
@@ -40,6 +42,8 @@
 	struct bootstrap *bootstrap; /* start-up, store watch, rendezvous */
 	struct backend_server *backend; /* the own one and its calls */
 	struct caller_table *callers; /* calls that entered here */
+	struct claim_task *claims;
+	struct keyed_calls *keyed; /* calls here that run at most once */
 	struct http_server *caller_server;
 	struct http_server *operator_server;
 	uv_timer_t tick;
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -220,6 +220,16 @@
 	return call;
 }
 
+struct store_call *
+store_delete(struct store_client *client, const char *key, uint64_t if_revision,
+	     void (*done)(void *, const struct store_result *), void *data)
+{
+	return send_simple(client, "DELETE",
+			   g_strdup_printf("/v1/keys/%s?if_revision=%" PRIu64,
+					   key, if_revision),
+			   STORE_TIMEOUT_MS, done, data);
+}
+
 struct store_call *
 store_watch(struct store_client *client, const char *key, uint64_t after,
 	    void (*done)(void *, const struct store_result *), void *data)
--- a/src/store_client.h
+++ b/src/store_client.h
@@ -65,6 +65,11 @@
 			     void (*done)(void *, const struct store_result *),
 			     void *data);
 
+/* Delete the key if its revision is if_revision. */
+struct store_call *
+store_delete(struct store_client *client, const char *key, uint64_t if_revision,
+	     void (*done)(void *, const struct store_result *), void *data);
+
 /* Wait until the key's revision exceeds after, FESCUE_ETIMEOUT otherwise. */
 struct store_call *
 store_watch(struct store_client *client, const char *key, uint64_t after,
