--- a/programs/fescue_load.c
+++ b/programs/fescue_load.c
@@ -37,7 +37,6 @@
 	char *body;
 	enum call_class call_class;
 	int keyed; /* send an idempotency key */
-	int poison; /* mark of a request that crashes backend servers */
 	int chain; /* calls below this one */
 	double weight;
 };
@@ -162,8 +161,8 @@
 {
 	struct load *l = c->load;
 	const struct mix *mix = c->mix;
-	char poison[16], chain[16];
-	struct http_header headers[4];
+	char chain[16];
+	struct http_header headers[3];
 	struct http_request request = {
 		.method = mix->method,
 		.path = mix->path,
@@ -182,11 +181,6 @@
 		headers[request.header_count].name = "idempotency-key";
 		headers[request.header_count++].value = c->key;
 	}
-	if (mix->poison) {
-		g_snprintf(poison, sizeof(poison), "%d", mix->poison);
-		headers[request.header_count].name = "x-poison";
-		headers[request.header_count++].value = poison;
-	}
 	if (mix->chain) {
 		g_snprintf(chain, sizeof(chain), "%d", mix->chain);
 		headers[request.header_count].name = "x-chain";
@@ -266,8 +260,6 @@
 				  CALL_CLASS_BACKGROUND :
 				  CALL_CLASS_URGENT;
 	mix->keyed = json_is_true(json_object_get(object, "keyed"));
-	mix->poison =
-		(int)json_integer_value(json_object_get(object, "poison"));
 	mix->chain = (int)json_integer_value(json_object_get(object, "chain"));
 	mix->weight = json_number_value(json_object_get(object, "weight"));
 	if (mix->weight <= 0)
--- a/script/experiments/convergence.sh
+++ b/script/experiments/convergence.sh
@@ -17,8 +17,8 @@
 		generate_fleet "$nodes" 3 4 ", \"distribution\": \"$mode\"$extra"
 		generate_rules "$out/rules" "$rules" 4
 		start_sized_store
-		start_sized_nodes
 		sized_apply "$out/rules"
+		start_sized_nodes
 		wait_sized_hosts "$nodes"
 		sleep 25 # until the news of the start have died down
 		counter_sums >"$out/idle-begin"
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -1,6 +1,8 @@
 #include "backend_server.h"
 
+#include "call_answer.h"
 #include "caller.h"
+#include "crash_report.h"
 #include "fescue/error.h"
 #include "http_client.h"
 #include "keyed_calls.h"
@@ -33,6 +35,8 @@
 	struct http_call *http;
 	char *key; /* claimed before the run; NULL: none */
 	uint64_t keyed_id;
+	uint64_t fingerprint;
+	Fescue__Packet *answer; /* of a run that has ended */
 };
 
 struct backend_server {
@@ -53,18 +57,6 @@
 	return uv_hrtime() / 1000;
 }
 
-static Fescue__CallRequest *copy_request(const Fescue__CallRequest *request)
-{
-	size_t size = fescue__call_request__get_packed_size(request);
-	uint8_t *bytes = g_malloc(size);
-	Fescue__CallRequest *copy;
-
-	fescue__call_request__pack(request, bytes);
-	copy = fescue__call_request__unpack(NULL, size, bytes);
-	g_free(bytes);
-	return copy;
-}
-
 static void serving_free(gpointer p)
 {
 	struct serving *s = p;
@@ -72,28 +64,11 @@
 	if (s->http)
 		http_call_cancel(s->http);
 	fescue__call_request__free_unpacked(s->request, NULL);
+	packet_destroy(s->answer);
 	g_free(s->key);
 	g_free(s);
 }
 
-static Fescue__Packet *create_answer(const struct backend_server *b,
-				     uint64_t call_id,
-				     enum call_outcome outcome,
-				     const char *reason)
-{
-	Fescue__Packet *packet =
-		packet_create(FESCUE__PACKET__BODY_CALL_ANSWER);
-	Fescue__CallAnswer *answer = packet->call_answer;
-
-	answer->call_id = call_id;
-	answer->outcome = (Fescue__Outcome)outcome;
-	packet_set_string(&answer->reason, reason);
-	answer->in_use = admission_in_use(b->admission);
-	answer->queued = admission_queued(b->admission);
-	answer->slots = admission_slots(b->admission);
-	return packet;
-}
-
 static void send_answer(struct backend_server *b, uint64_t to,
 			Fescue__Packet *packet)
 {
@@ -108,7 +83,9 @@
 		   const char *reason)
 {
 	b->node->counters.values[COUNTER_served_refused]++;
-	send_answer(b, to, create_answer(b, call_id, CALL_NOT_RUN, reason));
+	send_answer(b, to,
+		    call_answer_create(b->admission, call_id, CALL_NOT_RUN,
+				       reason));
 }
 
 static void start_next(struct backend_server *b);
@@ -139,86 +116,46 @@
 	start_next(b);
 }
 
-static int header_is_hop_by_hop(const char *name)
-{
-	static const char *const names[] = {
-		"connection", "content-length", "transfer-encoding",
-		"keep-alive", "server",		"date"
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-		if (!g_ascii_strcasecmp(name, names[i]))
-			return 1;
-	return 0;
-}
-
-static void add_answer_headers(Fescue__CallAnswer *answer,
-			       const struct http_result *result)
+/* Give the run's answer to its caller and free the slot. */
+static void finish_run(struct serving *s)
 {
-	answer->headers = g_new(Fescue__Header *, result->header_count + 1);
-	for (size_t i = 0; i < result->header_count; i++) {
-		Fescue__Header *header;
+	struct backend_server *b = s->backend;
+	Fescue__Packet *packet = g_steal_pointer(&s->answer);
 
-		if (header_is_hop_by_hop(result->headers[i].name))
-			continue;
-		header = g_new(Fescue__Header, 1);
-		fescue__header__init(header);
-		packet_set_string(&header->name, result->headers[i].name);
-		packet_set_string(&header->value, result->headers[i].value);
-		answer->headers[answer->n_headers++] = header;
-	}
+	if (s->key)
+		keyed_calls_finish(b->node->keyed, s->key, packet->call_answer);
+	send_answer(b, s->from, packet);
+	serving_end(s);
 }
 
-/* The backend server itself says that it shed the call before running it. */
-static int backend_shed(const struct http_result *result)
+/* All that must know of a crash have been told. */
+static void on_crash_reported(void *data)
 {
-	const char *outcome = http_result_header(result, "x-fescue-outcome");
-
-	return result->status == 503 && outcome && !strcmp(outcome, "not-run");
-}
+	struct serving *s = data;
 
-static Fescue__Packet *answer_of_result(struct serving *s,
-					const struct http_result *result)
-{
-	struct backend_server *b = s->backend;
-	uint64_t id = s->request->call_id;
-	Fescue__Packet *packet;
-
-	if (!result->error && backend_shed(result))
-		return create_answer(b, id, CALL_NOT_RUN,
-				     "the backend server shed the call");
-	if (!result->error) {
-		packet = create_answer(b, id, CALL_RAN, "");
-		packet->call_answer->status = (uint32_t)result->status;
-		add_answer_headers(packet->call_answer, result);
-		packet_set_bytes(&packet->call_answer->body, result->body,
-				 result->body_size);
-		packet->call_answer->body_bytes = result->body_size;
-		return packet;
-	}
-	b->node->counters.values[COUNTER_backend_failures]++;
-	if (!result->sent)
-		return create_answer(b, id, CALL_NOT_RUN,
-				     "no connection to the backend server");
-	packet = create_answer(b, id, CALL_UNKNOWN,
-			       result->error == FESCUE_ETIMEOUT ?
-				       "no answer before the deadline" :
-				       "the backend server broke off");
-	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL;
-	return packet;
+	if (quarantine_refuses(s->backend->node->quarantine, s->fingerprint,
+			       node_now_ms(s->backend->node)))
+		s->answer->call_answer->final = 1;
+	finish_run(s);
 }
 
 static void on_backend_answer(void *data, const struct http_result *result)
 {
 	struct serving *s = data;
 	struct backend_server *b = s->backend;
-	Fescue__Packet *packet = answer_of_result(s, result);
 
 	s->http = NULL;
-	if (s->key)
-		keyed_calls_finish(b->node->keyed, s->key, packet->call_answer);
-	send_answer(b, s->from, packet);
-	serving_end(s);
+	s->answer = call_answer_of_result(b->admission, s->request->call_id,
+					  result);
+	if (result->error)
+		b->node->counters.values[COUNTER_backend_failures]++;
+	else
+		quarantine_clear(b->node->quarantine, s->fingerprint);
+	if (s->answer->call_answer->suspect && b->pool)
+		crash_reports_begin(b->node->crashes, b->pool, b->service,
+				    s->fingerprint, on_crash_reported, s);
+	else
+		finish_run(s);
 }
 
 static void run(struct serving *s)
@@ -291,6 +228,19 @@
 		s->keyed_id = id;
 }
 
+static void refuse_poisonous(struct serving *s)
+{
+	struct backend_server *b = s->backend;
+	Fescue__Packet *packet = call_answer_create(
+		b->admission, s->request->call_id, CALL_NOT_RUN,
+		"the request crashed two backend servers; correct it");
+
+	packet->call_answer->final = 1;
+	b->node->counters.values[COUNTER_quarantine_refused]++;
+	send_answer(b, s->from, packet);
+	serving_end(s);
+}
+
 /* A call that holds a slot begins, unless its time ran out meanwhile. */
 static void begin(struct serving *s)
 {
@@ -305,7 +255,10 @@
 		serving_end(s);
 		return;
 	}
-	if (s->key)
+	if (quarantine_refuses(b->node->quarantine, s->fingerprint,
+			       node_now_ms(b->node)))
+		refuse_poisonous(s);
+	else if (s->key)
 		begin_keyed(s);
 	else
 		run(s);
@@ -340,9 +293,13 @@
 	s->backend = b;
 	s->ticket = ++b->next_ticket;
 	s->from = from;
-	s->request = copy_request(request);
+	s->request = call_request_copy(request);
 	s->deadline_ms = node_now_ms(b->node) + request->deadline_ms;
-	if (!request->idempotent && *request->key)
+	s->fingerprint = quarantine_fingerprint(request->service,
+						request->method, request->path,
+						request->body.data,
+						request->body.len);
+	if (!request->idempotent && *request->key && b->node->settings.claims)
 		s->key = g_strdup_printf("%s/%s", request->service,
 					 request->key);
 	g_hash_table_insert(b->servings, &s->ticket, s);
@@ -355,7 +312,7 @@
 {
 	struct serving *s;
 
-	if (request->idempotent || !*request->key)
+	if (request->idempotent || !*request->key || !b->node->settings.claims)
 		return 0;
 	s = serving_create(b, from, request);
 	if (!keyed_calls_knows(b->node->keyed, s->key)) {
@@ -406,6 +363,8 @@
 /* The caller gave up; a call that runs has its connection closed. */
 static void cancel_serving(struct serving *s)
 {
+	if (s->answer)
+		return; /* the run is over; its crash is being reported */
 	if (s->state == SERVING_RUNNING && s->http) {
 		http_call_cancel(s->http);
 		s->http = NULL;
--- /dev/null
+++ b/src/call_answer.h
@@ -0,0 +1,24 @@
+/*
+ * Building the answers that a target host gives for a call.
+ */
+#ifndef FESCUE_CALL_ANSWER_H
+#define FESCUE_CALL_ANSWER_H
+
+#include "fescue/admission.h"
+#include "fescue/retry.h"
+#include "http_client.h"
+#include "packet.h"
+
+/* An answer without a body that carries the target's load. */
+Fescue__Packet *call_answer_create(const struct admission *admission,
+				   uint64_t call_id, enum call_outcome outcome,
+				   const char *reason);
+
+/* The answer that the backend server's own answer, or its absence, gives. */
+Fescue__Packet *call_answer_of_result(const struct admission *admission,
+				      uint64_t call_id,
+				      const struct http_result *result);
+
+Fescue__CallRequest *call_request_copy(const Fescue__CallRequest *request);
+
+#endif
--- /dev/null
+++ b/src/crash_report.c
@@ -0,0 +1,172 @@
+#include "crash_report.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define PROBE_TIMEOUT_MS 200
+#define ACK_TIMEOUT_MS 200
+
+/* One run that was broken off. */
+struct report {
+	struct crash_reports *reports;
+	uint64_t id;
+	uint64_t fingerprint;
+	char service[HOST_NAME_BYTES];
+	uint32_t acks_missing;
+	uint64_t give_up_ms; /* 0 while the backend server is probed */
+	void (*done)(void *data);
+	void *data;
+};
+
+struct crash_reports {
+	struct node *node;
+	GHashTable *pending; /* id -> struct report */
+	uint64_t next_id;
+};
+
+static void report_end(struct report *report)
+{
+	void (*done)(void *data) = report->done;
+	void *data = report->data;
+
+	g_hash_table_remove(report->reports->pending, &report->id);
+	done(data);
+}
+
+static void send_to(struct report *report, uint64_t host)
+{
+	struct node *node = report->reports->node;
+	Fescue__Packet *packet =
+		packet_create(FESCUE__PACKET__BODY_QUARANTINE_REPORT);
+
+	packet->quarantine_report->report_id = report->id;
+	packet->quarantine_report->fingerprint = report->fingerprint;
+	packet->quarantine_report->host = node->own;
+	transport_send(node->transport, host, PACKET_CALL, packet);
+	packet_destroy(packet);
+	report->acks_missing++;
+}
+
+static void tell_hosts(struct report *report)
+{
+	struct node *node = report->reports->node;
+
+	for (size_t i = 0; i < membership_count(node->membership); i++) {
+		const struct host *host = membership_host(node->membership, i);
+
+		if (host->address != node->own && host_is_up(host) &&
+		    !strcmp(host->service, report->service))
+			send_to(report, host->address);
+	}
+}
+
+/* No connection to the backend server: the run took it down. */
+static void note_crash(struct report *report)
+{
+	struct node *node = report->reports->node;
+	uint64_t now_ms = node_now_ms(node);
+	uint32_t crashes = quarantine_report(node->quarantine,
+					     report->fingerprint, node->own,
+					     report->id, now_ms);
+
+	node->counters.values[COUNTER_quarantine_suspected]++;
+	if (crashes == QUARANTINE_CRASHES_MAX)
+		log_state("request %016" PRIx64
+			  " is refused: it crashed %u backend servers",
+			  report->fingerprint, crashes);
+	report->give_up_ms = now_ms + ACK_TIMEOUT_MS;
+	tell_hosts(report);
+}
+
+static void on_probed(void *data, const struct http_result *result)
+{
+	struct report *report = data;
+
+	if (result->error && !result->sent)
+		note_crash(report);
+	if (!report->acks_missing)
+		report_end(report);
+}
+
+void crash_reports_begin(struct crash_reports *reports, struct http_pool *pool,
+			 const char *service, uint64_t fingerprint,
+			 void (*done)(void *data), void *data)
+{
+	struct http_request probe = { .method = "GET",
+				      .path = "/health",
+				      .timeout_ms = PROBE_TIMEOUT_MS };
+	struct report *report = g_new0(struct report, 1);
+
+	report->reports = reports;
+	/* Unique across restarts of this node, too. */
+	report->id = wall_clock_us() * 16 + ++reports->next_id % 16;
+	report->fingerprint = fingerprint;
+	g_strlcpy(report->service, service, sizeof(report->service));
+	report->done = done;
+	report->data = data;
+	g_hash_table_replace(reports->pending, &report->id, report);
+	http_pool_send(pool, &probe, on_probed, report);
+}
+
+static void receive_report(struct crash_reports *reports, uint64_t from,
+			   const Fescue__QuarantineReport *report)
+{
+	struct node *node = reports->node;
+	Fescue__Packet *packet =
+		packet_create(FESCUE__PACKET__BODY_QUARANTINE_ACK);
+
+	quarantine_report(node->quarantine, report->fingerprint, report->host,
+			  report->report_id, node_now_ms(node));
+	packet->quarantine_ack->report_id = report->report_id;
+	transport_send(node->transport, from, PACKET_CALL, packet);
+	packet_destroy(packet);
+}
+
+void crash_reports_receive(struct crash_reports *reports, uint64_t from,
+			   const Fescue__Packet *packet)
+{
+	struct report *report;
+
+	if (packet->body_case == FESCUE__PACKET__BODY_QUARANTINE_REPORT) {
+		receive_report(reports, from, packet->quarantine_report);
+		return;
+	}
+	report = g_hash_table_lookup(reports->pending,
+				     &packet->quarantine_ack->report_id);
+	if (report && report->acks_missing && !--report->acks_missing)
+		report_end(report);
+}
+
+void crash_reports_tick(struct crash_reports *reports)
+{
+	uint64_t now_ms = node_now_ms(reports->node);
+	GList *pending = g_hash_table_get_values(reports->pending);
+
+	for (GList *l = pending; l; l = l->next) {
+		struct report *report = l->data;
+
+		if (report->give_up_ms && now_ms >= report->give_up_ms)
+			report_end(report);
+	}
+	g_list_free(pending);
+}
+
+struct crash_reports *crash_reports_create(struct node *node)
+{
+	struct crash_reports *reports = g_new0(struct crash_reports, 1);
+
+	reports->node = node;
+	reports->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, g_free);
+	return reports;
+}
+
+void crash_reports_destroy(struct crash_reports *reports)
+{
+	if (!reports)
+		return;
+	g_hash_table_destroy(reports->pending);
+	g_free(reports);
+}
--- a/src/node.c
+++ b/src/node.c
@@ -4,6 +4,7 @@
 #include "bootstrap.h"
 #include "caller.h"
 #include "claim_task.h"
+#include "crash_report.h"
 #include "events.h"
 #include "fescue/error.h"
 #include "keyed_calls.h"
@@ -216,6 +217,10 @@
 	case FESCUE__PACKET__BODY_CLAIM_REPLY:
 		claim_task_receive(node->claims, from, packet);
 		break;
+	case FESCUE__PACKET__BODY_QUARANTINE_REPORT:
+	case FESCUE__PACKET__BODY_QUARANTINE_ACK:
+		crash_reports_receive(node->crashes, from, packet);
+		break;
 	case FESCUE__PACKET__BODY_REPLAY_REQUEST:
 		keyed_calls_replay(node->keyed, from, packet->replay_request);
 		break;
@@ -276,6 +281,7 @@
 	distribution_tick(node->distribution, now_ms, &node->outbox);
 	bootstrap_tick(node->bootstrap);
 	claim_task_tick(node->claims);
+	crash_reports_tick(node->crashes);
 	keyed_calls_tick(node->keyed);
 	backend_server_tick(node->backend);
 	caller_table_tick(node->callers);
@@ -327,6 +333,8 @@
 	node->backend = backend_server_create(node);
 	node->callers = caller_table_create(node, seed + 2);
 	node->claims = claim_task_create(node, seed + 3);
+	node->quarantine = quarantine_create();
+	node->crashes = crash_reports_create(node);
 	node->keyed = keyed_calls_create(node);
 }
 
@@ -398,6 +406,8 @@
 	caller_table_destroy(node->callers);
 	backend_server_destroy(node->backend);
 	keyed_calls_destroy(node->keyed);
+	crash_reports_destroy(node->crashes);
+	quarantine_destroy(node->quarantine);
 	claim_task_destroy(node->claims);
 	bootstrap_destroy(node->bootstrap);
 	store_client_destroy(node->store);
--- a/src/node.h
+++ b/src/node.h
@@ -22,6 +22,7 @@
 struct backend_server;
 struct caller_table;
 struct claim_task;
+struct crash_reports;
 struct keyed_calls;
 struct operator_page;
 
@@ -42,6 +43,8 @@
 	struct bootstrap *bootstrap; /* start-up, store watch, rendezvous */
 	struct backend_server *backend; /* the own one and its calls */
 	struct caller_table *callers; /* calls that entered here */
+	struct quarantine *quarantine;
+	struct crash_reports *crashes;
 	struct claim_task *claims;
 	struct keyed_calls *keyed; /* calls here that run at most once */
 	struct http_server *caller_server;
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -1,5 +1,7 @@
 #include "node_settings.h"
 
+#include "fescue/claim.h"
+
 #include <arpa/inet.h>
 #include <string.h>
 
@@ -33,6 +35,7 @@
 	  admission_policies },
 	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
 	NUMBER("drain_ms", drain_ms, 0, 600000),
+	NUMBER("claims", claims, 0, 1),
 	NUMBER("claim_shards", claim_shards, 1, 256),
 	NUMBER("claim_interval_ms", claim_interval_ms, 0, 10000),
 	NUMBER("claim_retention_ms", claim_retention_ms, 1000, 604800000),
@@ -58,9 +61,10 @@
 	settings->operator_address = INADDR_LOOPBACK;
 	settings->start_jitter_ms = 500;
 	settings->drain_ms = 30000;
+	settings->claims = 1;
 	settings->claim_shards = 8;
-	settings->claim_interval_ms = 50;
-	settings->claim_retention_ms = 86400000;
+	settings->claim_interval_ms = claim_defaults.interval_ms;
+	settings->claim_retention_ms = claim_defaults.retention_ms;
 	settings->membership = membership_defaults;
 	settings->distribution = distribution_defaults;
 	settings->deltas = 1;
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -19,6 +19,7 @@
 	struct address store;
 	uint32_t start_jitter_ms; /* spread of first store reads */
 	uint32_t drain_ms; /* longest wait for calls in flight on a stop */
+	uint32_t claims; /* 0: forward keyed calls once, as a baseline */
 	uint32_t claim_shards;
 	uint32_t claim_interval_ms; /* least time between commits of a shard */
 	uint32_t claim_retention_ms;
--- a/standin/backend_standin.c
+++ b/standin/backend_standin.c
@@ -94,6 +94,16 @@
 	return *text ? (uint32_t)strtoul(text, NULL, 10) : fallback;
 }
 
+static uint32_t query_number(const struct http_exchange *exchange,
+			     const char *name)
+{
+	char *text = http_exchange_query(exchange, name);
+	uint32_t number = text ? (uint32_t)strtoul(text, NULL, 10) : 0;
+
+	g_free(text);
+	return number;
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct work *w = handle->data;
@@ -234,7 +244,7 @@
 	w->chain = (int)header_number(exchange, "x-chain", 0);
 	w->depth = header_number(exchange, "x-fescue-depth", 0);
 	w->deadline_ms = header_number(exchange, "x-fescue-deadline-ms", 60000);
-	w->poison = (int)header_number(exchange, "x-poison", 0);
+	w->poison = (int)query_number(exchange, "poison");
 	w->path = g_strndup(path.bytes, path.size);
 	uv_timer_init(b->loop, &w->timer);
 	w->timer.data = w;
