--- a/fescue/claim.h
+++ b/fescue/claim.h
@@ -111,6 +111,9 @@
 void claim_log_read(struct claim_log *log, enum claim_store_result result,
 		    const struct claim_record *record, uint64_t now_ms);
 
+/* CLAIM_DELETE has ended, whatever its result. */
+void claim_log_deleted(struct claim_log *log);
+
 /*
  * Advance time; wall_ms is the wall clock, which dates records. A gap longer
  * than half the retention since the last answer voids all that is known.
--- a/src/claim.c
+++ b/src/claim.c
@@ -60,6 +60,7 @@
 	uint64_t last_commit_ms;
 	uint64_t retry_at_ms;
 	uint64_t wall_ms;
+	int deleting; /* a CLAIM_DELETE is in flight */
 	GQueue actions; /* struct claim_action */
 };
 
@@ -496,7 +497,7 @@
 	struct old_record *record = g_queue_peek_head(&log->records);
 	struct claim_action *action;
 
-	if (!record ||
+	if (!record || log->deleting ||
 	    log->wall_ms < record->wall_ms + log->settings.retention_ms)
 		return;
 	for (guint i = 0; i < record->keys->len; i++)
@@ -504,6 +505,7 @@
 				    g_ptr_array_index(record->keys, i));
 	action = add_action(log, CLAIM_DELETE, record->sequence);
 	action->u.remove.revision = record->revision;
+	log->deleting = 1;
 	record_free(g_queue_pop_head(&log->records));
 }
 
@@ -530,10 +532,15 @@
 		start_listing(log);
 	if (log->state == LOG_SETTLING && now_ms >= log->retry_at_ms)
 		start_creating(log, now_ms);
-	if (log->state == LOG_READY) {
+	/* A number and revision name the record, so this is safe when stale. */
+	if (log->state == LOG_READY || log->state == LOG_UNKNOWN)
 		drop_old_record(log);
-		commit(log, now_ms);
-	}
+	commit(log, now_ms);
+}
+
+void claim_log_deleted(struct claim_log *log)
+{
+	log->deleting = 0;
 }
 
 int claim_log_next_action(struct claim_log *log, struct claim_action *action)
--- a/src/claim_task.c
+++ b/src/claim_task.c
@@ -129,6 +129,7 @@
 
 	(void)result;
 	shard->removal = NULL;
+	claim_log_deleted(shard->log);
 }
 
 static void record_key(const struct shard *shard, uint64_t sequence, char *out,
@@ -180,10 +181,9 @@
 		shard->call = store_get(store, key, 0, on_read, shard);
 		break;
 	case CLAIM_DELETE:
-		if (!shard->removal)
-			shard->removal = store_delete(store, key,
-						      action->u.remove.revision,
-						      on_removed, shard);
+		shard->removal = store_delete(store, key,
+					      action->u.remove.revision,
+					      on_removed, shard);
 		break;
 	case CLAIM_REPLY:
 		send_reply(shard->task, action);
