--- a/programs/fescue_load.c
+++ b/programs/fescue_load.c
@@ -98,6 +98,8 @@
 	if (result->error)
 		return result->sent ? "unknown" : "not-run";
 	outcome = http_result_header(result, "x-fescue-outcome");
+	if (!outcome && result->status == 200)
+		return "ran"; /* a backend server called directly */
 	return outcome ? outcome : "none";
 }
 
--- a/script/experiments/_measure.sh
+++ b/script/experiments/_measure.sh
@@ -1,5 +1,9 @@
 # Functions shared by the experiments: generated fleets and measurements.
 
+# Second number of the loopback addresses; two experiments may run side by
+# side with different ones.
+net=${FESCUE_NET:-1}
+
 # generate_fleet NODES DOMAINS SERVICES JQ-SETTINGS: settings of a fleet named
 # "sized" in $settings_dir; host i serves service s<i mod SERVICES>.
 generate_fleet() {
@@ -10,15 +14,15 @@
 	for i in $(seq "$nodes")
 	do
 		cat >"$settings_dir/host-$i.json" <<-JSON
-		{"address": "127.1.$((i / 200)).$((i % 200 + 1))",
-		 "operator_address": "127.1.$((i / 200)).$((i % 200 + 1))",
+		{"address": "127.$net.$((i / 200)).$((i % 200 + 1))",
+		 "operator_address": "127.$net.$((i / 200)).$((i % 200 + 1))",
 		 "peer_port": 7000, "caller_port": 8000, "operator_port": 9000,
 		 "failure_domain": "domain-$((i % domains))",
-		 "store": "127.1.100.100:7100"$extra}
+		 "store": "127.$net.100.100:7100"$extra}
 		JSON
 		echo "$i s$((i % services))" >>"$settings_dir/hosts"
 	done
-	store=127.1.100.100:7100
+	store=127.$net.100.100:7100
 }
 
 # generate_rules FILE LINES SERVICES
@@ -161,3 +165,36 @@
 	echo "$*" >>"$out/table.csv"
 	echo "$*" | tr ',' '\t'
 }
+
+# load_field FILE CLASS FIELD: a figure of fescue-load's summary.
+load_field() {
+	sed -n "s/^class=$2 .*[ ]$3=\([0-9.]*\).*/\1/p" "$1"
+}
+
+# sized_callers: all caller ports, comma-separated.
+sized_callers() {
+	caller_ports sized
+}
+
+# start_service_fleet NODES DOMAINS SETTINGS RULES-FILE ROUTES BACKEND-OPTIONS:
+# a fleet of one service "s0" with its rules in force and every node ready.
+start_service_fleet() {
+	local nodes=$1 domains=$2 extra=$3 rules=$4 routes=$5
+	shift 5
+	generate_fleet "$nodes" "$domains" 1 "$extra"
+	start_sized_store
+	sized_apply "$rules"
+	start_sized_nodes
+	start_sized_backends "$@"
+	wait_ready sized "$routes"
+	wait_sized_hosts "$nodes"
+	sleep 2
+}
+
+# sized_judge: violations in the records of this fleet.
+sized_judge() {
+	"$bin/fescue-check" --convergence-ms 30000 "$out"/*.events \
+		>"$out/check" || true
+	grep '^violation' "$out/check" | head -n 3 >&2 || true
+	check_field "$out/check" violations
+}
--- /dev/null
+++ b/script/experiments/poison.sh
@@ -0,0 +1,8 @@
+# The poison scenario of the tests, with its figures.
+bash test/system/poison.sh >"$out/log" 2>&1 || cat "$out/log"
+row calls ran not_run unknown runs violations
+f() { check_field "$out/log" "$1"; }
+row "$(f calls)" "$(f ran)" "$(f not_run)" "$(f unknown)" "$(f runs)" \
+	"$(f violations)"
+echo "poison: calls=$(f calls) violations=$(f violations)"
+test "$(f violations)" = 0
