Free connection pools of backend servers that are gone; test HTTP both ways

Cause: a pool was leaked, with its timers, each time an announcement expired. The pool now goes with its last call. Tests of whole bodies, broken answers, refused connections, timeouts, cancellation and late answers, also under AddressSanitizer.

--- a/script/experiments/_measure.sh
+++ b/script/experiments/_measure.sh
@@ -168,7 +168,7 @@
 
 # load_field FILE CLASS FIELD: a figure of fescue-load's summary.
 load_field() {
-	sed -n "s/^class=$2 .*[ ]$3=\([0-9.]*\).*/\1/p" "$1"
+	sed -n "s/^class=$2.*[ ]$3=\([0-9.]*\).*/\1/p" "$1"
 }
 
 # sized_callers: all caller ports, comma-separated.
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -434,7 +434,7 @@
 {
 	if (b->pool && address_key(address) == address_key(b->address))
 		return;
-	/* The old pool is left to its calls in flight. */
+	http_pool_release(b->pool);
 	b->address = address;
 	b->pool =
 		http_pool_create(b->node->loop, address, IDLE_CONNECTIONS_MAX);
@@ -501,6 +501,7 @@
 		log_state("backend server of %s no longer announces itself",
 			  b->service);
 		b->node->counters.values[COUNTER_backend_expired]++;
+		http_pool_release(b->pool);
 		b->pool = NULL;
 		admission_set_slots(b->admission, 0);
 		publish(b);
--- a/src/caller.c
+++ b/src/caller.c
@@ -497,7 +497,9 @@
 	struct http_text key =
 		http_exchange_header(exchange, "idempotency-key");
 
-	if (key.bytes && (!key.size || key.size > KEY_MAX_BYTES))
+	if (!key.bytes)
+		return 1;
+	if (!key.size || key.size > KEY_MAX_BYTES)
 		return 0;
 	for (size_t i = 0; i < key.size; i++)
 		if (!g_ascii_isgraph(key.bytes[i]))
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -16,6 +16,9 @@
 	h2o_http1client_ctx_t context;
 	h2o_timeout_t io_timeout;
 	char authority[ADDRESS_TEXT_BYTES];
+	size_t calls; /* that have not been released */
+	int released; /* by its owner; goes with the last call */
+	uv_timer_t last_handle; /* closed after the library's own timers */
 };
 
 struct http_call {
@@ -57,27 +60,45 @@
 	h2o_socketpool_set_timeout(&pool->sockets, loop, IDLE_CONNECTION_MS);
 	h2o_timeout_init(loop, &pool->io_timeout, IO_TIMEOUT_MS);
 	pool->context.loop = loop;
+	uv_timer_init(loop, &pool->last_handle);
+	pool->last_handle.data = pool;
 	pool->context.io_timeout = &pool->io_timeout;
 	return pool;
 }
 
-void http_pool_destroy(struct http_pool *pool)
+static void on_pool_closed(uv_handle_t *handle)
 {
-	if (!pool)
-		return;
+	g_free(handle->data);
+}
+
+/* libuv closes handles last in, first out: ours goes after the library's. */
+static void pool_dispose(struct http_pool *pool)
+{
+	uv_close((uv_handle_t *)&pool->last_handle, on_pool_closed);
 	h2o_socketpool_dispose(&pool->sockets);
 	h2o_timeout_dispose(pool->loop, &pool->io_timeout);
-	/* libuv closes the timers of pool and timeout on its next turn. */
+}
+
+void http_pool_release(struct http_pool *pool)
+{
+	if (!pool)
+		return;
+	pool->released = 1;
+	if (!pool->calls)
+		pool_dispose(pool);
 }
 
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct http_call *call = handle->data;
+	struct http_pool *pool = call->pool;
 
 	g_string_free(call->request, TRUE);
 	g_string_free(call->body, TRUE);
 	g_array_free(call->headers, TRUE);
 	g_free(call);
+	if (!--pool->calls && pool->released)
+		pool_dispose(pool);
 }
 
 static void call_release(struct http_call *call)
@@ -249,6 +270,7 @@
 	struct http_call *call = g_new0(struct http_call, 1);
 
 	call->pool = pool;
+	pool->calls++;
 	call->request = encode_request(pool, request);
 	call->method_is_head = !strcmp(request->method, "HEAD");
 	call->body = g_string_new(NULL);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -34,8 +34,8 @@
 struct http_pool *http_pool_create(uv_loop_t *loop, struct address address,
 				   size_t idle_max);
 
-/* All its calls must have ended. */
-void http_pool_destroy(struct http_pool *pool);
+/* No new calls follow; it is freed when its last call has ended. */
+void http_pool_release(struct http_pool *pool);
 
 /*
  * Send a request; everything in it is copied. done is called once from the
--- a/src/store_client.c
+++ b/src/store_client.c
@@ -175,7 +175,7 @@
 {
 	if (!client)
 		return;
-	http_pool_destroy(client->pool);
+	http_pool_release(client->pool);
 	g_free(client);
 }
 
--- /dev/null
+++ b/test/test_http.cc
@@ -0,0 +1,201 @@
+#include "support.h"
+
+#include <csignal>
+
+extern "C" {
+#include "fescue/error.h"
+#include "http_client.h"
+#include "http_server.h"
+}
+
+namespace
+{
+
+const struct address loopback = { 0x7f000001, 47163 };
+
+/* A server and a client on one loop; the handler is chosen by the path. */
+struct fixture {
+	uv_loop_t *loop = uv_default_loop();
+	struct http_server *server = nullptr;
+	struct http_pool *pool = nullptr;
+	struct http_exchange *held = nullptr;
+	int closed = 0;
+	int done = 0;
+	int error = 0;
+	int sent = 0;
+	int status = 0;
+	std::string body;
+
+	fixture()
+	{
+		signal(SIGPIPE, SIG_IGN); /* as every program does */
+		EXPECT_EQ(http_server_create(loop, loopback, handle, this,
+					     &server),
+			  FESCUE_OK);
+		pool = http_pool_create(loop, loopback, 2);
+	}
+	~fixture()
+	{
+		http_pool_release(pool);
+		http_server_stop(server);
+		run(20);
+	}
+	static void on_closed(void *data)
+	{
+		((fixture *)data)->closed++;
+		((fixture *)data)->held = nullptr;
+	}
+	static void handle(void *data, struct http_exchange *exchange)
+	{
+		fixture *f = (fixture *)data;
+		struct http_text text = http_exchange_body(exchange);
+
+		if (http_exchange_path_is(exchange, "/echo")) {
+			http_exchange_reply(exchange, 200, nullptr, 0,
+					    text.bytes, text.size);
+		} else if (http_exchange_path_is(exchange, "/abort")) {
+			http_exchange_on_close(exchange, on_closed, f);
+			http_exchange_abort(exchange);
+		} else {
+			f->held = exchange;
+			http_exchange_on_close(exchange, on_closed, f);
+		}
+	}
+	static void on_done(void *data, const struct http_result *result)
+	{
+		fixture *f = (fixture *)data;
+
+		f->done++;
+		f->error = result->error;
+		f->sent = result->sent;
+		f->status = result->status;
+		f->body.assign(result->body, result->body_size);
+	}
+	struct http_call *send(const char *path, const std::string &content,
+			       uint32_t timeout_ms = 2000)
+	{
+		struct http_request request = { "POST",		path,
+						nullptr,	0,
+						content.data(), content.size(),
+						timeout_ms };
+
+		return http_pool_send(pool, &request, on_done, this);
+	}
+	static void on_timer(uv_timer_t *timer)
+	{
+		uv_stop(timer->loop);
+	}
+	void run(uint64_t ms)
+	{
+		uv_timer_t timer;
+
+		uv_timer_init(loop, &timer);
+		uv_timer_start(&timer, on_timer, ms, 0);
+		uv_run(loop, UV_RUN_DEFAULT);
+		uv_close((uv_handle_t *)&timer, nullptr);
+		uv_run(loop, UV_RUN_NOWAIT);
+	}
+	void run_until_done(int count)
+	{
+		for (int i = 0; i < 500 && done < count; i++)
+			run(10);
+	}
+};
+
+TEST(http, whole_bodies_come_back)
+{
+	fixture f;
+
+	for (size_t size : { 0, 1, 1000, 3000000 }) {
+		f.send("/echo", std::string(size, 'x'));
+		f.run_until_done(f.done + 1);
+		EXPECT_EQ(f.error, FESCUE_OK);
+		EXPECT_EQ(f.status, 200);
+		EXPECT_EQ(f.body.size(), size);
+	}
+}
+
+TEST(http, broken_answer_is_an_error)
+{
+	fixture f;
+
+	f.send("/abort", "x");
+	f.run_until_done(1);
+	EXPECT_EQ(f.error, FESCUE_EPARTIAL);
+	EXPECT_EQ(f.sent, 1);
+}
+
+TEST(http, refused_connection_was_not_sent)
+{
+	fixture f;
+	struct address nobody = { 0x7f000001, 47164 };
+	struct http_pool *pool = http_pool_create(f.loop, nobody, 1);
+	struct http_request request = {
+		"GET", "/", nullptr, 0, nullptr, 0, 1000
+	};
+
+	http_pool_send(pool, &request, fixture::on_done, &f);
+	EXPECT_EQ(f.done, 0);
+	f.run_until_done(1);
+	EXPECT_EQ(f.error, FESCUE_EIO);
+	EXPECT_EQ(f.sent, 0);
+	http_pool_release(pool);
+	f.run(10);
+}
+
+TEST(http, timeout_closes_the_connection)
+{
+	fixture f;
+
+	f.send("/hold", "x", 50);
+	f.run_until_done(1);
+	EXPECT_EQ(f.error, FESCUE_ETIMEOUT);
+	f.run(50);
+	EXPECT_EQ(f.closed, 1);
+}
+
+/* The caller goes away: the handler is told once, the request disposed once.
+ */
+TEST(http, canceled_call_is_noticed)
+{
+	fixture f;
+	struct http_call *call = f.send("/hold", "x");
+
+	f.run(50);
+	EXPECT_NE(f.held, nullptr);
+	http_call_cancel(call);
+	f.run(50);
+	EXPECT_EQ(f.closed, 1);
+	EXPECT_EQ(f.done, 0);
+}
+
+TEST(http, late_answer_reaches_its_caller)
+{
+	fixture f;
+
+	f.send("/hold", "x");
+	f.run(50);
+	ASSERT_NE(f.held, nullptr);
+	http_exchange_reply(f.held, 201, nullptr, 0, "late", 4);
+	f.run_until_done(1);
+	EXPECT_EQ(f.status, 201);
+	EXPECT_EQ(f.body, "late");
+	EXPECT_EQ(f.closed, 0);
+}
+
+/* A pool released with calls in flight goes with the last of them. */
+TEST(http, released_pool_finishes_its_calls)
+{
+	fixture f;
+
+	f.send("/hold", "x");
+	f.run(50);
+	http_pool_release(f.pool);
+	ASSERT_NE(f.held, nullptr);
+	http_exchange_reply(f.held, 200, nullptr, 0, "x", 1);
+	f.run_until_done(1);
+	EXPECT_EQ(f.status, 200);
+	f.pool = http_pool_create(f.loop, loopback, 2);
+}
+
+} // namespace
