--- a/src/counters.h
+++ b/src/counters.h
@@ -28,7 +28,6 @@
 	X(backend_failures)       \
 	X(backend_announcements)  \
 	X(backend_expired)        \
-	X(backend_probe_failures) \
 	X(claims_asked)           \
 	X(claims_granted)         \
 	X(claims_taken)           \
