--- a/programs/fescue_load.c
+++ b/programs/fescue_load.c
@@ -38,6 +38,7 @@
 	enum call_class call_class;
 	int keyed; /* send an idempotency key */
 	int chain; /* calls below this one */
+	char *last_path; /* of the lowest of them, or NULL */
 	double weight;
 };
 
@@ -164,7 +165,7 @@
 	struct load *l = c->load;
 	const struct mix *mix = c->mix;
 	char chain[16];
-	struct http_header headers[3];
+	struct http_header headers[4];
 	struct http_request request = {
 		.method = mix->method,
 		.path = mix->path,
@@ -188,6 +189,10 @@
 		headers[request.header_count].name = "x-chain";
 		headers[request.header_count++].value = chain;
 	}
+	if (mix->last_path) {
+		headers[request.header_count].name = "x-last-path";
+		headers[request.header_count++].value = mix->last_path;
+	}
 	c->started_us = now_us();
 	l->tallies[mix->call_class].sent++;
 	http_pool_send(g_ptr_array_index(l->pools, node), &request, on_answer,
@@ -263,6 +268,8 @@
 				  CALL_CLASS_URGENT;
 	mix->keyed = json_is_true(json_object_get(object, "keyed"));
 	mix->chain = (int)json_integer_value(json_object_get(object, "chain"));
+	mix->last_path = g_strdup(
+		json_string_value(json_object_get(object, "last_path")));
 	mix->weight = json_number_value(json_object_get(object, "weight"));
 	if (mix->weight <= 0)
 		mix->weight = 1;
--- a/standin/backend_standin.c
+++ b/standin/backend_standin.c
@@ -65,6 +65,7 @@
 	char key[TEXT_MAX];
 	int chain; /* calls still to make below this one */
 	char *path;
+	char *last_path; /* of the lowest call, or NULL */
 	uint32_t deadline_ms;
 	uint32_t depth;
 	int poison;
@@ -109,6 +110,7 @@
 	struct work *w = handle->data;
 
 	g_free(w->path);
+	g_free(w->last_path);
 	g_free(w);
 }
 
@@ -172,10 +174,11 @@
 		{ "x-fescue-deadline-ms", deadline },
 		{ "x-fescue-depth", depth },
 		{ "x-request-id", id },
+		{ "x-last-path", w->last_path ? w->last_path : w->path },
 	};
 	struct http_request request = {
 		.method = "GET",
-		.path = w->path,
+		.path = w->chain == 1 && w->last_path ? w->last_path : w->path,
 		.headers = headers,
 		.header_count = G_N_ELEMENTS(headers),
 		.timeout_ms = w->deadline_ms + 1000,
@@ -236,6 +239,7 @@
 {
 	struct work *w = g_new0(struct work, 1);
 	struct http_text path = http_exchange_path(exchange);
+	struct http_text last = http_exchange_header(exchange, "x-last-path");
 
 	w->backend = b;
 	w->exchange = exchange;
@@ -246,6 +250,8 @@
 	w->deadline_ms = header_number(exchange, "x-fescue-deadline-ms", 60000);
 	w->poison = (int)query_number(exchange, "poison");
 	w->path = g_strndup(path.bytes, path.size);
+	if (last.bytes)
+		w->last_path = g_strndup(last.bytes, last.size);
 	uv_timer_init(b->loop, &w->timer);
 	w->timer.data = w;
 	b->in_use++;
