--- a/src/caller.c
+++ b/src/caller.c
@@ -11,7 +11,7 @@
 #define DEPTH_MAX 16
 #define KEY_MAX_BYTES 128
 #define EVIDENCE_IDLE_MS 600000
-#define DEADLINE_GRACE_MS 20 /* for the target's own timeout to answer */
+#define DEADLINE_GRACE_MS 75 /* for the target's own expiry to answer */
 
 /* One call of a caller, from its request to its answer. */
 struct call {
@@ -375,22 +375,6 @@
 	g_ptr_array_free(gone, TRUE);
 }
 
-static uint32_t header_number(const struct http_exchange *exchange,
-			      const char *name, uint32_t fallback)
-{
-	struct http_text text = http_exchange_header(exchange, name);
-	uint64_t value = 0;
-
-	if (!text.bytes || !text.size || text.size > 9)
-		return fallback;
-	for (size_t i = 0; i < text.size; i++) {
-		if (!g_ascii_isdigit(text.bytes[i]))
-			return fallback;
-		value = value * 10 + (uint64_t)(text.bytes[i] - '0');
-	}
-	return (uint32_t)value;
-}
-
 static int header_is_ours(struct http_text name)
 {
 	static const char *const names[] = {
@@ -450,8 +434,9 @@
 	c->body = body.bytes;
 	c->body_size = body.size;
 	copy_headers(c, depth);
-	deadline = MIN(header_number(exchange, "x-fescue-deadline-ms",
-				     c->contract.deadline_ms),
+	deadline = MIN(http_exchange_header_number(exchange,
+						   "x-fescue-deadline-ms",
+						   c->contract.deadline_ms),
 		       c->contract.deadline_ms);
 	c->deadline_ms = node_now_ms(node) + deadline;
 	c->entered_us = now_us();
@@ -511,7 +496,8 @@
 {
 	struct node *node = data;
 	struct caller_table *t = node->callers;
-	uint32_t depth = header_number(exchange, "x-fescue-depth", 0);
+	uint32_t depth =
+		http_exchange_header_number(exchange, "x-fescue-depth", 0);
 	struct route_handle route;
 	struct call *c;
 	const char *why;
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -308,6 +308,31 @@
 	       !memcmp(exchange->req->path.base, text, len);
 }
 
+int http_exchange_method_is(const struct http_exchange *exchange,
+			    const char *method)
+{
+	const h2o_iovec_t *text = &exchange->req->method;
+
+	return text->len == strlen(method) &&
+	       !memcmp(text->base, method, text->len);
+}
+
+uint32_t http_exchange_header_number(const struct http_exchange *exchange,
+				     const char *name, uint32_t fallback)
+{
+	struct http_text text = http_exchange_header(exchange, name);
+	uint64_t value = 0;
+
+	if (!text.bytes || !text.size || text.size > 9)
+		return fallback;
+	for (size_t i = 0; i < text.size; i++) {
+		if (!g_ascii_isdigit(text.bytes[i]))
+			return fallback;
+		value = value * 10 + (uint64_t)(text.bytes[i] - '0');
+	}
+	return (uint32_t)value;
+}
+
 void http_exchange_on_close(struct http_exchange *exchange,
 			    void (*closed)(void *data), void *data)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -64,6 +64,13 @@
 int http_exchange_path_is(const struct http_exchange *exchange,
 			  const char *text);
 
+int http_exchange_method_is(const struct http_exchange *exchange,
+			    const char *method);
+
+/* A header's whole number of up to nine digits, or the fallback. */
+uint32_t http_exchange_header_number(const struct http_exchange *exchange,
+				     const char *name, uint32_t fallback);
+
 /*
  * closed is called at most once, when the caller went away before the reply;
  * the exchange is invalid afterwards.
--- a/src/operator.c
+++ b/src/operator.c
@@ -183,22 +183,14 @@
 			    text, size);
 }
 
-static int method_is(const struct http_exchange *exchange, const char *method)
-{
-	struct http_text text = http_exchange_method(exchange);
-
-	return text.size == strlen(method) &&
-	       !memcmp(text.bytes, method, text.size);
-}
-
 void operator_request(void *data, struct http_exchange *exchange)
 {
 	struct node *node = data;
 
-	if (method_is(exchange, "POST") &&
+	if (http_exchange_method_is(exchange, "POST") &&
 	    http_exchange_path_is(exchange, "/backend"))
 		backend_server_announce(node->backend, exchange);
-	else if (method_is(exchange, "POST") &&
+	else if (http_exchange_method_is(exchange, "POST") &&
 		 http_exchange_path_is(exchange, "/backend/leave"))
 		backend_server_leave(node->backend, exchange);
 	else if (http_exchange_path_is(exchange, "/counters"))
