Eject hosts that refuse with free slots; forget latency of unused hosts

Ruled out: retries alone (their budget is a tenth of the calls). Change: a refusal with free slots counts as a failure of the host; latency evidence halves every 5 s while a host is unused; differences under a fifth do not decide. Tests: host_that_refuses_with_room_is_ejected, slow_host_is_tried_again.

--- a/fescue/router.h
+++ b/fescue/router.h
@@ -22,6 +22,7 @@
 	enum router_policy policy;
 	uint32_t slow_start_ms;
 	uint32_t load_half_life_ms; /* ageing of reported load */
+	uint32_t latency_half_life_ms; /* ageing of latency while unused */
 	uint32_t failures_to_eject; /* consecutive */
 	uint32_t ejection_ms; /* doubled each time in a row */
 	uint32_t ejection_max_ms;
@@ -32,7 +33,7 @@
 /* How a call sent to a host ended, as evidence on that host. */
 enum router_result {
 	ROUTER_ANSWERED,
-	ROUTER_REFUSED, /* healthy but full or leaving */
+	ROUTER_REFUSED, /* full; with free slots it counts as a failure */
 	ROUTER_FAILED, /* no connection, crash or timeout */
 	ROUTER_CANCELED, /* says nothing on the host */
 };
@@ -61,7 +62,7 @@
 /* A call was sent to the host. Pair with router_finished(). */
 void router_started(struct router *router, uint64_t host, uint64_t now_ms);
 
-/* load may be NULL when the answer carried none. */
+/* load is NULL when the answer carried none, or does not speak of the host. */
 void router_finished(struct router *router, uint64_t host,
 		     enum router_result result, uint64_t latency_us,
 		     const struct router_load *load, uint64_t now_ms);
--- a/src/caller.c
+++ b/src/caller.c
@@ -340,7 +340,8 @@
 				      "the answer is not whole");
 		break;
 	case FESCUE__OUTCOME__NOT_RUN:
-		end_attempt(c, ROUTER_REFUSED, &load);
+		/* A final refusal is the request's or the store's fault. */
+		end_attempt(c, ROUTER_REFUSED, answer->final ? NULL : &load);
 		attempt_failed(c, CALL_NOT_RUN, answer->final, answer->reason);
 		break;
 	default:
--- a/src/router.c
+++ b/src/router.c
@@ -10,6 +10,7 @@
 #define LATENCY_WEIGHT 0.2
 #define LATENCY_INITIAL_US 1000.0
 #define SLOW_START_FLOOR 0.1
+#define CLEARLY_CHEAPER 0.8
 #define EJECTED_SHARE_MAX 2 /* at most one in this many */
 #define EJECTION_DOUBLINGS_MAX 5
 
@@ -17,6 +18,7 @@
 	.policy = ROUTER_TWO_CHOICES,
 	.slow_start_ms = 5000,
 	.load_half_life_ms = 500,
+	.latency_half_life_ms = 5000,
 	.failures_to_eject = 3,
 	.ejection_ms = 1000,
 	.ejection_max_ms = 30000,
@@ -113,6 +115,17 @@
 	return MAX(share, SLOW_START_FLOOR);
 }
 
+/* Latency seen, forgotten while the host is not used, so that it is tried. */
+static double aged_latency(const struct router *r,
+			   const struct host_evidence *e, uint64_t now_ms)
+{
+	double age = (double)(now_ms - e->last_used_ms);
+	double factor = exp2(-age / r->settings.latency_half_life_ms);
+
+	return LATENCY_INITIAL_US +
+	       (e->latency_us - LATENCY_INITIAL_US) * factor;
+}
+
 static double candidate_cost(const struct router *r, const struct candidate *c,
 			     uint64_t now_ms)
 {
@@ -120,7 +133,7 @@
 	double load = MAX((double)c->evidence->outstanding,
 			  aged_load(r, c->evidence, now_ms));
 
-	return (load + 1) * c->evidence->latency_us /
+	return (load + 1) * aged_latency(r, c->evidence, now_ms) /
 	       (slots * slow_start_share(r, c->evidence, now_ms));
 }
 
@@ -228,8 +241,11 @@
 		return a;
 	j = (i + (guint)g_rand_int_range(r->random, 1, (gint)n)) % n;
 	b = candidate_at(candidates, j);
-	return candidate_cost(r, b, now_ms) < candidate_cost(r, a, now_ms) ? b :
-									     a;
+	/* Small differences are noise: they must not send all to one host. */
+	return candidate_cost(r, b, now_ms) <
+			       candidate_cost(r, a, now_ms) * CLEARLY_CHEAPER ?
+		       b :
+		       a;
 }
 
 static const struct candidate *pick(struct router *r, GArray *candidates,
@@ -266,6 +282,7 @@
 	struct host_evidence *e = get_evidence(r, host, now_ms);
 
 	e->outstanding++;
+	e->latency_us = aged_latency(r, e, now_ms);
 	e->last_used_ms = now_ms;
 }
 
@@ -283,6 +300,12 @@
 	e->failures = 0;
 }
 
+/* A backend server that sheds while it has free slots is not well. */
+static int refused_with_room(const struct router_load *load)
+{
+	return load && load->in_use + load->queued < load->slots;
+}
+
 void router_finished(struct router *r, uint64_t host, enum router_result result,
 		     uint64_t latency_us, const struct router_load *load,
 		     uint64_t now_ms)
@@ -307,6 +330,9 @@
 		record_failure(r, e, now_ms);
 		break;
 	case ROUTER_REFUSED:
+		if (refused_with_room(load))
+			record_failure(r, e, now_ms);
+		break;
 	case ROUTER_CANCELED:
 		break;
 	}
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -107,6 +107,25 @@
 	EXPECT_FALSE(router_is_ejected(f.router, 1, 4000));
 }
 
+TEST(router, host_that_refuses_with_room_is_ejected)
+{
+	fixture f({ { 1, "a", "x", 6 }, { 2, "a", "x", 6 } });
+	struct router_load room = { 1, 0, 6 }, full = { 6, 2, 6 };
+
+	for (int i = 0; i < 9; i++) {
+		router_started(f.router, 2, 1000);
+		router_finished(f.router, 2, ROUTER_REFUSED, 1, &full, 1000);
+		router_started(f.router, 2, 1000);
+		router_finished(f.router, 2, ROUTER_REFUSED, 1, nullptr, 1000);
+	}
+	EXPECT_FALSE(router_is_ejected(f.router, 2, 1000));
+	for (int i = 0; i < 3; i++) {
+		router_started(f.router, 1, 1000);
+		router_finished(f.router, 1, ROUTER_REFUSED, 1, &room, 1000);
+	}
+	EXPECT_TRUE(router_is_ejected(f.router, 1, 1000));
+}
+
 TEST(router, never_ejects_most_hosts)
 {
 	fixture f(
@@ -140,6 +159,34 @@
 	EXPECT_LT(chosen[1], chosen[2] / 2);
 }
 
+/* A host that was slow is tried again when it was left alone for a while. */
+TEST(router, slow_host_is_tried_again)
+{
+	fixture f({ { 1, "a", "x", 9 }, { 2, "a", "x", 9 } });
+	std::map<uint64_t, int> soon, later;
+
+	for (uint64_t host : { 1, 2 })
+		for (int i = 0; i < 40; i++) {
+			router_started(f.router, host, 1000);
+			router_finished(f.router, host, ROUTER_ANSWERED,
+					host == 1 ? 500000 : 1000, nullptr,
+					1000);
+		}
+	for (int i = 0; i < 400; i++)
+		soon[f.choose("x", 1100)]++;
+	EXPECT_EQ(soon[1], 0);
+	for (int i = 0; i < 200; i++) {
+		uint64_t now = 121000 + i;
+		uint64_t host = f.choose("x", now);
+
+		later[host]++;
+		router_started(f.router, host, now);
+		router_finished(f.router, host, ROUTER_ANSWERED, 1000, nullptr,
+				now);
+	}
+	EXPECT_GT(later[1], 20);
+}
+
 TEST(router, new_host_starts_slowly)
 {
 	fixture f({ { 1, "a", "x", 10 } });
