Bound the records of one table comparison

Cause: after the loss of a failure domain at 1,900 hosts all buckets differ and each comparison carried the whole table. A newcomer still gets the whole table once.

--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1376,7 +1376,7 @@
   (ProtobufCMessageInit) fescue__ping_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__sync_request__field_descriptors[1] =
+static const ProtobufCFieldDescriptor fescue__sync_request__field_descriptors[2] =
 {
   {
     "bucket_digests",
@@ -1390,14 +1390,27 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "whole",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__SyncRequest, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__sync_request__field_indices_by_name[] = {
   0,   /* field[0] = bucket_digests */
+  1,   /* field[1] = whole */
 };
 static const ProtobufCIntRange fescue__sync_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor fescue__sync_request__descriptor =
 {
@@ -1407,7 +1420,7 @@
   "Fescue__SyncRequest",
   "fescue",
   sizeof(Fescue__SyncRequest),
-  1,
+  2,
   fescue__sync_request__field_descriptors,
   fescue__sync_request__field_indices_by_name,
   1,  fescue__sync_request__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -179,10 +179,14 @@
   ProtobufCMessage base;
   size_t n_bucket_digests;
   uint32_t *bucket_digests;
+  /*
+   * a newcomer: send every differing bucket
+   */
+  protobuf_c_boolean whole;
 };
 #define FESCUE__SYNC_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__sync_request__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Fescue__SyncReply
--- a/src/membership.c
+++ b/src/membership.c
@@ -7,6 +7,7 @@
 
 #define RELAYED_PROBES_MAX 32
 #define LEAVE_FAN_OUT 8
+#define SYNC_RECORDS_MAX 128 /* about 8 KB an answer */
 
 const struct membership_settings membership_defaults = {
 	.probe_period_ms = 1000,
@@ -99,6 +100,7 @@
 	request->n_bucket_digests = MEMBER_BUCKETS;
 	request->bucket_digests =
 		g_memdup2(m->table.digests, sizeof(m->table.digests));
+	request->whole = !m->synced;
 	m->last_sync_ms = m->table.now_ms;
 	outbox_send(outbox, to, PACKET_REPAIR, packet);
 }
@@ -159,6 +161,27 @@
 	return packet;
 }
 
+/*
+ * Mark differing buckets, from a random one on, until they hold as many
+ * records as one answer may; a newcomer gets them all.
+ */
+static void choose_buckets(struct membership *m,
+			   const Fescue__SyncRequest *request, uint8_t *wanted)
+{
+	size_t first = (size_t)g_rand_int_range(m->random, 0, MEMBER_BUCKETS);
+	size_t share = m->table.members->len / MEMBER_BUCKETS + 1;
+	size_t room = request->whole ? SIZE_MAX : SYNC_RECORDS_MAX;
+
+	for (size_t i = 0; i < MEMBER_BUCKETS && room >= share; i++) {
+		size_t bucket = (first + i) % MEMBER_BUCKETS;
+
+		if (request->bucket_digests[bucket] == m->table.digests[bucket])
+			continue;
+		wanted[bucket] = 1;
+		room -= share;
+	}
+}
+
 static void receive_sync_request(struct membership *m, uint64_t from,
 				 const Fescue__SyncRequest *request,
 				 struct outbox *outbox)
@@ -169,8 +192,7 @@
 
 	if (request->n_bucket_digests != MEMBER_BUCKETS)
 		return;
-	for (size_t i = 0; i < MEMBER_BUCKETS; i++)
-		wanted[i] = request->bucket_digests[i] != m->table.digests[i];
+	choose_buckets(m, request, wanted);
 	packet = create_sync_reply(m, wanted);
 	reply = packet->sync_reply;
 	reply->buckets = g_new(uint32_t, MEMBER_BUCKETS);
