Probe a broken backend server until it answers; spare requests that succeed

Cause 1: a process that dies closes its sockets one by one, so the probe after a crash could be accepted and broken off, which counted as alive. It is now repeated, and only a whole answer shows life. A request that ran to its end lately is not suspected. Ruled out: repeated reports, the success table (it came later).

--- a/fescue/quarantine.h
+++ b/fescue/quarantine.h
@@ -29,13 +29,18 @@
 /*
  * A backend server at host crashed while it ran the request; repeated reports
  * of one crash, told apart by report_id, count once. Returns the crashes
- * known.
+ * known, 0 for a request that ran to its end lately.
  */
 uint32_t quarantine_report(struct quarantine *quarantine, uint64_t fingerprint,
 			   uint64_t host, uint64_t report_id, uint64_t now_ms);
 
-/* The request ran to its end. */
-void quarantine_clear(struct quarantine *quarantine, uint64_t fingerprint);
+/*
+ * The request ran to its end. Crashes that happen while it runs are then not
+ * taken for its doing, for a while: a request that many callers send is in
+ * flight at most crashes.
+ */
+void quarantine_clear(struct quarantine *quarantine, uint64_t fingerprint,
+		      uint64_t now_ms);
 
 /* Must the request be refused? */
 int quarantine_refuses(struct quarantine *quarantine, uint64_t fingerprint,
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -150,7 +150,8 @@
 	if (result->error)
 		b->node->counters.values[COUNTER_backend_failures]++;
 	else
-		quarantine_clear(b->node->quarantine, s->fingerprint);
+		quarantine_clear(b->node->quarantine, s->fingerprint,
+				 node_now_ms(b->node));
 	if (s->answer->call_answer->suspect && b->pool)
 		crash_reports_begin(b->node->crashes, b->pool, b->service,
 				    s->fingerprint, on_crash_reported, s);
--- a/src/crash_report.c
+++ b/src/crash_report.c
@@ -1,11 +1,13 @@
 #include "crash_report.h"
 
+#include "fescue/error.h"
 #include "log.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #define PROBE_TIMEOUT_MS 200
+#define PROBES_MAX 5
 #define ACK_TIMEOUT_MS 200
 
 /* One run that was broken off. */
@@ -14,6 +16,8 @@
 	uint64_t id;
 	uint64_t fingerprint;
 	char service[HOST_NAME_BYTES];
+	struct http_pool *pool;
+	uint32_t probes;
 	uint32_t acks_missing;
 	uint64_t give_up_ms; /* 0 while the backend server is probed */
 	void (*done)(void *data);
@@ -49,6 +53,17 @@
 	report->acks_missing++;
 }
 
+/*
+ * Hosts of the service, and those whose service is not known yet: calls may
+ * reach them through nodes that know more.
+ */
+static int must_know(const struct report *report, const struct host *host)
+{
+	return host->address != report->reports->node->own &&
+	       host_is_up(host) &&
+	       (!host->service[0] || !strcmp(host->service, report->service));
+}
+
 static void tell_hosts(struct report *report)
 {
 	struct node *node = report->reports->node;
@@ -56,8 +71,7 @@
 	for (size_t i = 0; i < membership_count(node->membership); i++) {
 		const struct host *host = membership_host(node->membership, i);
 
-		if (host->address != node->own && host_is_up(host) &&
-		    !strcmp(host->service, report->service))
+		if (must_know(report, host))
 			send_to(report, host->address);
 	}
 }
@@ -80,23 +94,39 @@
 	tell_hosts(report);
 }
 
+static void probe(struct report *report);
+
+/*
+ * A process that dies closes its sockets one by one: a probe may still be
+ * accepted and then broken off. Only a whole answer shows that it lives.
+ */
 static void on_probed(void *data, const struct http_result *result)
 {
 	struct report *report = data;
 
-	if (result->error && !result->sent)
+	if (result->error == FESCUE_EPARTIAL && ++report->probes < PROBES_MAX) {
+		probe(report);
+		return;
+	}
+	if (result->error && result->error != FESCUE_ETIMEOUT)
 		note_crash(report);
 	if (!report->acks_missing)
 		report_end(report);
 }
 
+static void probe(struct report *report)
+{
+	struct http_request request = { .method = "GET",
+					.path = "/health",
+					.timeout_ms = PROBE_TIMEOUT_MS };
+
+	http_pool_send(report->pool, &request, on_probed, report);
+}
+
 void crash_reports_begin(struct crash_reports *reports, struct http_pool *pool,
 			 const char *service, uint64_t fingerprint,
 			 void (*done)(void *data), void *data)
 {
-	struct http_request probe = { .method = "GET",
-				      .path = "/health",
-				      .timeout_ms = PROBE_TIMEOUT_MS };
 	struct report *report = g_new0(struct report, 1);
 
 	report->reports = reports;
@@ -107,7 +137,8 @@
 	report->done = done;
 	report->data = data;
 	g_hash_table_replace(reports->pending, &report->id, report);
-	http_pool_send(pool, &probe, on_probed, report);
+	report->pool = pool;
+	probe(report);
 }
 
 static void receive_report(struct crash_reports *reports, uint64_t from,
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -14,8 +14,15 @@
 	uint64_t last_ms;
 };
 
+/* A request that ran to its end here: no crash is its doing. */
+struct success {
+	uint64_t fingerprint;
+	uint64_t last_ms;
+};
+
 struct quarantine {
 	GHashTable *suspicions; /* fingerprint -> struct suspicion */
+	GHashTable *successes; /* fingerprint -> struct success */
 };
 
 struct quarantine *quarantine_create(void)
@@ -24,6 +31,8 @@
 
 	q->suspicions = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					      g_free);
+	q->successes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     g_free);
 	return q;
 }
 
@@ -32,6 +41,7 @@
 	if (!q)
 		return;
 	g_hash_table_destroy(q->suspicions);
+	g_hash_table_destroy(q->successes);
 	g_free(q);
 }
 
@@ -100,11 +110,22 @@
 	return 0;
 }
 
+static int has_succeeded(const struct quarantine *q, uint64_t fingerprint,
+			 uint64_t now_ms)
+{
+	const struct success *s =
+		g_hash_table_lookup(q->successes, &fingerprint);
+
+	return s && now_ms < s->last_ms + QUARANTINE_MS;
+}
+
 uint32_t quarantine_report(struct quarantine *q, uint64_t fingerprint,
 			   uint64_t host, uint64_t report_id, uint64_t now_ms)
 {
 	struct suspicion *s;
 
+	if (has_succeeded(q, fingerprint, now_ms))
+		return 0;
 	expire(q, now_ms);
 	s = get(q, fingerprint);
 	if (now_ms >= s->last_ms + QUARANTINE_MS)
@@ -120,9 +141,20 @@
 	return s->crashes;
 }
 
-void quarantine_clear(struct quarantine *q, uint64_t fingerprint)
+void quarantine_clear(struct quarantine *q, uint64_t fingerprint,
+		      uint64_t now_ms)
 {
+	struct success *s = g_hash_table_lookup(q->successes, &fingerprint);
+
 	g_hash_table_remove(q->suspicions, &fingerprint);
+	if (!s && g_hash_table_size(q->successes) >= QUARANTINE_ENTRIES_MAX)
+		g_hash_table_remove_all(q->successes);
+	if (!s) {
+		s = g_new0(struct success, 1);
+		s->fingerprint = fingerprint;
+		g_hash_table_insert(q->successes, &s->fingerprint, s);
+	}
+	s->last_ms = now_ms;
 }
 
 int quarantine_refuses(struct quarantine *q, uint64_t fingerprint,
