Give answers by one function; drop what nothing calls

Read once more: an answer's way to its caller stood twice in backend_server, the monotonic clock three times, and claim_task_abandon() and distribution_staged_version() had no caller. Behaviour is as it was.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -97,7 +97,6 @@
 			     struct distribution_action *action);
 
 uint64_t distribution_version(const struct distribution *distribution);
-uint64_t distribution_staged_version(const struct distribution *distribution);
 int distribution_is_relay(const struct distribution *distribution);
 
 /* Rank of the own host among its domain's relays, from 0. */
--- a/programs/fescue_load.c
+++ b/programs/fescue_load.c
@@ -74,11 +74,6 @@
 	uv_timer_t timer; /* of a resend */
 };
 
-static uint64_t now_us(void)
-{
-	return uv_hrtime() / 1000;
-}
-
 static void send_call(struct call *c);
 
 static void on_call_closed(uv_handle_t *handle)
@@ -148,7 +143,7 @@
 {
 	struct call *c = data;
 	const char *outcome = outcome_of(result);
-	uint64_t latency_us = now_us() - c->started_us;
+	uint64_t latency_us = monotonic_clock_us() - c->started_us;
 
 	count(c, outcome, result->status, latency_us);
 	record(c, result, outcome, latency_us);
@@ -193,7 +188,7 @@
 		headers[request.header_count].name = "x-last-path";
 		headers[request.header_count++].value = mix->last_path;
 	}
-	c->started_us = now_us();
+	c->started_us = monotonic_clock_us();
 	l->tallies[mix->call_class].sent++;
 	http_pool_send(g_ptr_array_index(l->pools, node), &request, on_answer,
 		       c);
@@ -234,7 +229,7 @@
 static void on_tick(uv_timer_t *timer)
 {
 	struct load *l = timer->data;
-	uint64_t now = now_us();
+	uint64_t now = monotonic_clock_us();
 	uint64_t end = l->started_us + (uint64_t)options.seconds * 1000000;
 
 	while (l->next_us <= now && l->next_us < end) {
@@ -375,7 +370,7 @@
 			options.history);
 		return EXIT_REFUSED;
 	}
-	load.started_us = now_us();
+	load.started_us = monotonic_clock_us();
 	load.next_us = load.started_us;
 	uv_timer_init(load.loop, &load.timer);
 	load.timer.data = &load;
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -59,11 +59,6 @@
 	GHashTable *servings; /* ticket -> struct serving */
 };
 
-static uint64_t now_us(void)
-{
-	return uv_hrtime() / 1000;
-}
-
 static void serving_free(gpointer p)
 {
 	struct serving *s = p;
@@ -76,13 +71,20 @@
 	g_free(s);
 }
 
-static void send_answer(struct backend_server *b, uint64_t to,
-			Fescue__Packet *packet)
+/* Give the answer to the node the call came from, which may be this one. */
+static void deliver_answer(struct backend_server *b, uint64_t to,
+			   const Fescue__Packet *packet)
 {
 	if (to == b->node->own)
 		caller_table_answer(b->node->callers, to, packet->call_answer);
 	else
 		transport_send(b->node->transport, to, PACKET_CALL, packet);
+}
+
+static void send_answer(struct backend_server *b, uint64_t to,
+			Fescue__Packet *packet)
+{
+	deliver_answer(b, to, packet);
 	packet_destroy(packet);
 }
 
@@ -101,7 +103,7 @@
 static void serving_end(struct serving *s)
 {
 	struct backend_server *b = s->backend;
-	uint64_t spent_us = now_us() - s->started_us;
+	uint64_t spent_us = monotonic_clock_us() - s->started_us;
 	enum call_class call_class = s->request->call_class ?
 					     CALL_CLASS_BACKGROUND :
 					     CALL_CLASS_URGENT;
@@ -210,11 +212,7 @@
 	copy.slots = admission_slots(b->admission);
 	packet.body_case = FESCUE__PACKET__BODY_CALL_ANSWER;
 	packet.call_answer = &copy;
-	if (s->from == b->node->own)
-		caller_table_answer(b->node->callers, s->from, &copy);
-	else
-		transport_send(b->node->transport, s->from, PACKET_CALL,
-			       &packet);
+	deliver_answer(b, s->from, &packet);
 	serving_end(s);
 }
 
@@ -255,7 +253,7 @@
 	struct backend_server *b = s->backend;
 
 	s->state = SERVING_CLAIMING;
-	s->started_us = now_us();
+	s->started_us = monotonic_clock_us();
 	if (node_now_ms(b->node) >= s->deadline_ms || !b->pool) {
 		refuse(b, s->from, s->request->call_id,
 		       b->pool ? "the deadline passed in the queue" :
--- a/src/caller.c
+++ b/src/caller.c
@@ -44,11 +44,6 @@
 	size_t calls;
 };
 
-static uint64_t now_us(void)
-{
-	return uv_hrtime() / 1000;
-}
-
 static void header_free(gpointer p)
 {
 	fescue__header__free_unpacked(p, NULL);
@@ -84,7 +79,8 @@
 	g_hash_table_remove(t->attempts, &c->attempt_id);
 	c->attempt_id = 0;
 	router_finished(t->router, c->tried[c->attempts - 1], result,
-			now_us() - c->attempt_us, load, node_now_ms(t->node));
+			monotonic_clock_us() - c->attempt_us, load,
+			node_now_ms(t->node));
 }
 
 static void count_outcome(struct call *c, enum call_outcome outcome)
@@ -103,7 +99,7 @@
 		break;
 	}
 	histogram_record(&counters->latency_us[c->contract.call_class],
-			 now_us() - c->entered_us);
+			 monotonic_clock_us() - c->entered_us);
 }
 
 /* Answer a request that a rule or the node's state refuses. */
@@ -221,7 +217,7 @@
 
 	c->tried[c->attempts++] = host;
 	c->attempt_id = ++t->next_id;
-	c->attempt_us = now_us();
+	c->attempt_us = monotonic_clock_us();
 	g_hash_table_insert(t->attempts, &c->attempt_id, c);
 	router_started(t->router, host, node_now_ms(t->node));
 	t->node->counters.values[COUNTER_attempts]++;
@@ -440,7 +436,7 @@
 						   c->contract.deadline_ms),
 		       c->contract.deadline_ms);
 	c->deadline_ms = node_now_ms(node) + deadline;
-	c->entered_us = now_us();
+	c->entered_us = monotonic_clock_us();
 	uv_timer_init(node->loop, &c->timer);
 	c->timer.data = c;
 	uv_timer_start(&c->timer, on_deadline, deadline + DEADLINE_GRACE_MS, 0);
--- a/src/claim_task.c
+++ b/src/claim_task.c
@@ -273,15 +273,14 @@
 	packet_destroy(packet);
 }
 
-uint64_t
-claim_task_ask(struct claim_task *task, const char *key, uint64_t deadline_ms,
-	       void (*done)(void *data, const struct claim_result *result),
-	       void *data)
+void claim_task_ask(struct claim_task *task, const char *key,
+		    uint64_t deadline_ms,
+		    void (*done)(void *data, const struct claim_result *result),
+		    void *data)
 {
 	struct own_claim *claim = g_new0(struct own_claim, 1);
-	uint64_t id = ++task->next_id;
 
-	claim->id = id;
+	claim->id = ++task->next_id;
 	claim->nonce = (uint64_t)g_rand_int(task->random) << 32 |
 		       g_rand_int(task->random);
 	claim->key = g_strdup(key);
@@ -291,12 +290,6 @@
 	g_hash_table_insert(task->claims, &claim->id, claim);
 	task->node->counters.values[COUNTER_claims_asked]++;
 	ask_holder(task, claim);
-	return id;
-}
-
-void claim_task_abandon(struct claim_task *task, uint64_t id)
-{
-	g_hash_table_remove(task->claims, &id);
 }
 
 static void count_verdict(struct claim_task *task, enum claim_verdict verdict)
--- a/src/claim_task.h
+++ b/src/claim_task.h
@@ -22,16 +22,13 @@
 
 /*
  * Claim the key for this node; done is called once, perhaps before this
- * returns, unless the claim is abandoned. Returns its id, never 0. CLAIM_UNSETTLED and CLAIM_REFUSED,
- * which also end a claim at its deadline, mean that the call must not run.
+ * returns. CLAIM_UNSETTLED and CLAIM_REFUSED, which also end a claim at its
+ * deadline, mean that the call must not run.
  */
-uint64_t
-claim_task_ask(struct claim_task *task, const char *key, uint64_t deadline_ms,
-	       void (*done)(void *data, const struct claim_result *result),
-	       void *data);
-
-/* Give up a claim; done is not called any more. */
-void claim_task_abandon(struct claim_task *task, uint64_t id);
+void claim_task_ask(struct claim_task *task, const char *key,
+		    uint64_t deadline_ms,
+		    void (*done)(void *data, const struct claim_result *result),
+		    void *data);
 
 /* Handle ClaimRequest and ClaimReply. */
 void claim_task_receive(struct claim_task *task, uint64_t from,
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -540,11 +540,6 @@
 	return in_force(d)->version;
 }
 
-uint64_t distribution_staged_version(const struct distribution *d)
-{
-	return d->staged.version;
-}
-
 int distribution_is_relay(const struct distribution *d)
 {
 	return d->watching;
--- a/src/events.c
+++ b/src/events.c
@@ -7,6 +7,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <time.h>
+#include <uv.h>
 
 struct event_log {
 	FILE *file;
@@ -21,6 +22,11 @@
 	return (uint64_t)now.tv_sec * 1000000 + (uint64_t)now.tv_nsec / 1000;
 }
 
+uint64_t monotonic_clock_us(void)
+{
+	return uv_hrtime() / 1000;
+}
+
 int event_log_open(const char *path, const char *source, struct event_log **out)
 {
 	struct event_log *log = g_new0(struct event_log, 1);
