--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -3,9 +3,11 @@
  * are refused before anything ran.
  *
  * Urgent calls may take every slot; background calls leave a reserved share
- * free, yet get one grant in ten while they wait. Queues are bounded, and a
- * call whose deadline cannot be met is refused at once. The module owns no
- * socket and reads no clock.
+ * free, yet get one grant in ten while they wait. Within a class, calls that
+ * can still end in time go before those that are late already, then those of
+ * lower rank, then the older ones. Queues are bounded, and a call whose
+ * deadline cannot be met is refused at once. The module owns no socket and
+ * reads no clock.
  */
 #ifndef FESCUE_ADMISSION_H
 #define FESCUE_ADMISSION_H
@@ -36,6 +38,8 @@
 struct admission_call {
 	uint64_t ticket; /* chosen by the caller of this module */
 	enum call_class call_class;
+	uint32_t rank; /* lower ones go first */
+	uint64_t due_ms; /* worth less afterwards; 0: no such time */
 	uint64_t deadline_ms; /* absolute */
 	uint32_t queue; /* limit of its class */
 	uint32_t reserve_percent;
@@ -69,6 +73,9 @@
 /* Remove a queued call; returns 0 or FESCUE_ENOTFOUND. */
 int admission_cancel(struct admission *admission, uint64_t ticket);
 
+/* Expected time until a call that comes now would be done. */
+uint32_t admission_wait_ms(const struct admission *admission);
+
 uint32_t admission_in_use(const struct admission *admission);
 uint32_t admission_queued(const struct admission *admission);
 uint32_t admission_slots(const struct admission *admission);
--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -35,6 +35,7 @@
 	uint32_t ack_timeout_ms; /* before a child's subtree is adopted */
 	uint32_t backup_delay_ms; /* per rank, before a further relay pushes */
 	uint32_t fetch_timeout_ms;
+	uint32_t fetch_delay_ms; /* for the own watch to show a version first */
 	int deltas; /* push differences where the base is known */
 	int witness; /* a relay waits until another host holds a version */
 };
--- a/fescue/error.h
+++ b/fescue/error.h
@@ -18,6 +18,7 @@
 	FESCUE_EMISMATCH = -8, /* a checksum or base version differs */
 	FESCUE_EPARTIAL = -9, /* the answer ended early */
 	FESCUE_ECANCELED = -10, /* the caller or owner gave up */
+	FESCUE_EGONE = -11, /* the history asked for was dropped */
 };
 
 /*
--- a/fescue/retry.h
+++ b/fescue/retry.h
@@ -2,7 +2,8 @@
  * Retry: may a call be attempted again, and within which budget.
  *
  * Only a call that certainly did not run, or an idempotent one, is attempted
- * again. Retries spend tokens that first attempts earn, so that they stay a
+ * again. Moving a call that no backend server has seen is free. Any other
+ * repeat spends a token that first attempts earn, so that repeats stay a
  * bounded share of all calls.
  */
 #ifndef FESCUE_RETRY_H
@@ -25,19 +26,24 @@
 
 #define RETRY_TOKENS_PER_CALL 0.1
 #define RETRY_TOKENS_MAX 10.0
+/* Hosts that may turn a call away, unseen by their backend servers. */
+#define RETRY_MOVES_MAX 4
 
 /* A first attempt earns its share of a token. */
 void retry_budget_earn(struct retry_budget *budget);
 
 struct retry_question {
 	const struct contract *contract;
-	uint32_t attempts; /* made so far */
+	uint32_t attempts; /* that a backend server has seen, this one too */
+	uint32_t moves; /* that none has seen, this one too */
 	enum call_outcome outcome; /* of the last one */
+	int arrived; /* a backend server has seen the last one */
+	int server_error; /* it ran and its answer is a failure of the server */
 	int final; /* the answer says another attempt cannot help */
 	uint64_t remaining_ms; /* until the call's deadline */
 };
 
-/* Returns 1 and spends a token when the call may be attempted again. */
+/* Returns 1, and spends a token if need be, when it may be attempted again. */
 int retry_allow(struct retry_budget *budget,
 		const struct retry_question *question);
 
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -34,7 +34,8 @@
 enum router_result {
 	ROUTER_ANSWERED,
 	ROUTER_REFUSED, /* full; with free slots it counts as a failure */
-	ROUTER_FAILED, /* no connection, crash or timeout */
+	ROUTER_FAILED, /* crash or timeout */
+	ROUTER_UNREACHABLE, /* no connection: not tried again for a while */
 	ROUTER_CANCELED, /* says nothing on the host */
 };
 
--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -3,12 +3,15 @@
  *
  * One rule a line, closed by a comment that names who asked for it:
  *
- *   service NAME [deadline=MS] [queue=N] [reserve=PERCENT]  # who
- *   route METHOD HOST/PREFIX SERVICE [class=urgent|background]
- *         [idempotent=yes|no] [deadline=MS] [retries=N]      # who
+ *   service NAME [deadline=MS] [queue=N] [reserve=PERCENT]
+ *         [health=PATH] [connections=N]                      # who
+ *   route METHOD HOST/PREFIX TARGET [class=urgent|background] [rank=N]
+ *         [idempotent=yes|no] [deadline=MS] [latency=MS] [retries=N] # who
+ *   limits [header=BYTES] [body=BYTES] [header-time=MS] [idle-time=MS] # who
  *
- * METHOD and HOST may be "*". Parsing is total: any input yields either a
- * rule set or a list of diagnostics, never both.
+ * METHOD and HOST may be "*". TARGET is a service, or services with weights
+ * that share the route's calls: NAME:WEIGHT,NAME:WEIGHT. Parsing is total:
+ * any input yields either a rule set or a list of diagnostics, never both.
  */
 #ifndef FESCUE_RULES_H
 #define FESCUE_RULES_H
@@ -28,6 +31,18 @@
 #define RULES_RETRIES_MAX 5
 #define RULES_RETRIES_DEFAULT 1
 
+#define RULES_RANK_MAX 99
+#define RULES_RANK_URGENT 1 /* of calls whose route names no rank */
+#define RULES_RANK_BACKGROUND 5
+#define RULES_PARTS_MAX 8
+#define RULES_WEIGHT_MAX 1000000
+#define RULES_CONNECTIONS_MAX 1000000
+#define RULES_PATH_MAX_BYTES 127
+#define RULES_HEADER_DEFAULT_BYTES 16384
+#define RULES_BODY_DEFAULT_BYTES 67108864
+#define RULES_HEADER_DEFAULT_MS 10000
+#define RULES_IDLE_DEFAULT_MS 60000
+
 enum call_class { CALL_CLASS_URGENT, CALL_CLASS_BACKGROUND, CALL_CLASS_COUNT };
 
 /* What the file promises for the calls of one route. */
@@ -36,6 +51,8 @@
 	int idempotent;
 	uint32_t deadline_ms;
 	uint32_t retries; /* further attempts after the first */
+	uint32_t rank; /* 0 is served first */
+	uint32_t latency_ms; /* an answer is worth less later; 0: not told */
 };
 
 /* Limits every backend server of a service applies. */
@@ -44,18 +61,37 @@
 	uint32_t queue; /* calls that may wait for a slot, per class */
 	uint32_t reserve_percent; /* slots kept free of background calls */
 	uint32_t deadline_ms;
+	uint32_t connections; /* to one backend server; 0: no limit */
+	char health[RULES_PATH_MAX_BYTES + 1]; /* path; empty: none */
 	uint32_t line;
 };
 
+/* A service that takes its weight's share of a route's calls. */
+struct route_part {
+	char service[RULES_NAME_MAX_BYTES + 1];
+	uint32_t weight;
+};
+
+/* What a caller may send and how long it may take. */
+struct limits_rule {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms; /* from a request's first byte to its last header */
+	uint32_t idle_ms; /* between two requests of a connection */
+	uint32_t line; /* 0: no such line, the defaults hold */
+};
+
 struct route_rule {
 	char *method; /* "*" matches any */
 	char *host; /* "*" matches any */
 	char *prefix; /* starts with '/' */
-	char service[RULES_NAME_MAX_BYTES + 1];
+	struct route_part parts[RULES_PARTS_MAX];
+	uint32_t part_count; /* at least 1 */
 	struct contract contract;
 	uint32_t line;
 	uint32_t service_column;
 	int has_deadline;
+	int has_rank;
 };
 
 /* One bad line: where, what was found, and the remedy. */
@@ -87,10 +123,14 @@
 /* Routes are ordered: the first match of a call is the most specific. */
 const struct route_rule *rules_route(const struct rules *rules, size_t i);
 
-/* Does the route rule accept this call? Strings need not end in NUL. */
+const struct limits_rule *rules_limits(const struct rules *rules);
+
+/*
+ * Does the route rule accept a call of this method and path, its host
+ * matching? Strings need not end in NUL.
+ */
 int route_rule_matches(const struct route_rule *rule, const char *method,
-		       size_t method_len, const char *host, size_t host_len,
-		       const char *path, size_t path_len);
+		       size_t method_len, const char *path, size_t path_len);
 
 const char *call_class_name(enum call_class call_class);
 
--- a/fescue/snapshot.h
+++ b/fescue/snapshot.h
@@ -3,7 +3,7 @@
  * joined with the hosts known to serve each service.
  *
  * Handles are indices into the tables of the same snapshot. A route exists
- * in the effective table only while its service has at least one host; the
+ * in the effective table only while one of its services has a host; the
  * other routes are withdrawn and their calls are refused.
  */
 #ifndef FESCUE_SNAPSHOT_H
@@ -74,8 +74,15 @@
 
 const struct route_rule *snapshot_route(const struct snapshot *snapshot,
 					struct route_handle route);
-struct service_handle snapshot_route_service(const struct snapshot *snapshot,
-					     struct route_handle route);
+
+/*
+ * The service of one part of a route, below the rule's part_count. Returns 0,
+ * or FESCUE_ENOTFOUND while no host serves that part.
+ */
+int snapshot_route_service(const struct snapshot *snapshot,
+			   struct route_handle route, uint32_t part,
+			   struct service_handle *service);
+const struct limits_rule *snapshot_limits(const struct snapshot *snapshot);
 const struct service_rule *snapshot_service(const struct snapshot *snapshot,
 					    struct service_handle service);
 size_t snapshot_service_host_count(const struct snapshot *snapshot,
--- a/programs/fescue_node.c
+++ b/programs/fescue_node.c
@@ -9,8 +9,13 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 
-static int run(const struct node_settings *settings, const char *events_path)
+/* Holds the path of the settings file when no argument names one. */
+#define SETTINGS_VARIABLE "FESCUEHITCH_NODE_FILE"
+
+static int run(const struct node_settings *settings, const char *path,
+	       const char *events_path)
 {
 	uv_loop_t *loop = uv_default_loop();
 	struct event_log *events;
@@ -26,7 +31,7 @@
 			fescue_strerror(error));
 		return EXIT_REFUSED;
 	}
-	error = node_create(loop, settings, events, &node);
+	error = node_create(loop, settings, path, events, &node);
 	if (error) {
 		fprintf(stderr,
 			"fescue-node: cannot listen: %s; check that the "
@@ -53,14 +58,16 @@
 	};
 	struct node_settings settings;
 	char message[SETTINGS_ERROR_BYTES];
+	const char *path;
 	int code;
 
 	program_parse(&argc, &argv, entries, "SETTINGS",
 		      "Runs beside a backend server, enforces the rules file "
 		      "and carries calls.");
-	if (!check && argc != 2)
+	path = argc == 2 ? argv[1] : getenv(SETTINGS_VARIABLE);
+	if (!check && !path)
 		program_usage_error("fescue-node", "name one settings file");
-	if (node_settings_read(check ? check : argv[1], &settings, message)) {
+	if (node_settings_read(check ? check : path, &settings, message)) {
 		fprintf(stderr, "%s\n", message);
 		return EXIT_REFUSED;
 	}
@@ -70,7 +77,7 @@
 	}
 	signal(SIGPIPE, SIG_IGN);
 	log_open("fescue-node");
-	code = run(&settings, events);
+	code = run(&settings, path, events);
 	log_close();
 	return code;
 }
--- a/src/admission.c
+++ b/src/admission.c
@@ -149,28 +149,63 @@
 static int pop_expired(struct admission *a, uint64_t now_ms, uint64_t *ticket)
 {
 	for (int i = 0; i < CALL_CLASS_COUNT; i++) {
-		struct admission_call *head = g_queue_peek_head(&a->queues[i]);
+		for (GList *l = a->queues[i].head; l; l = l->next) {
+			struct admission_call *call = l->data;
 
-		if (!head || now_ms < head->deadline_ms)
-			continue;
-		*ticket = head->ticket;
-		g_free(g_queue_pop_head(&a->queues[i]));
-		return 1;
+			if (now_ms < call->deadline_ms)
+				continue;
+			*ticket = call->ticket;
+			g_free(call);
+			g_queue_delete_link(&a->queues[i], l);
+			return 1;
+		}
 	}
 	return 0;
 }
 
+static int is_late(const struct admission *a, const struct admission_call *call,
+		   uint64_t now_ms)
+{
+	return call->due_ms &&
+	       now_ms + (uint64_t)(a->service_us / 1000) > call->due_ms;
+}
+
+/* Which of two waiting calls goes first; the queue is in order of arrival. */
+static int goes_before(const struct admission *a,
+		       const struct admission_call *x,
+		       const struct admission_call *y, uint64_t now_ms)
+{
+	int late_x = is_late(a, x, now_ms), late_y = is_late(a, y, now_ms);
+
+	return late_x != late_y ? late_x < late_y : x->rank < y->rank;
+}
+
+static GList *best_waiting(struct admission *a, enum call_class c,
+			   uint64_t now_ms)
+{
+	GList *best = a->queues[c].head;
+
+	if (a->policy == ADMISSION_FIFO)
+		return best;
+	for (GList *l = best; l; l = l->next)
+		if (goes_before(a, l->data, best->data, now_ms))
+			best = l;
+	return best;
+}
+
 static int pop_class(struct admission *a, enum call_class c, int floor,
-		     uint64_t *ticket)
+		     uint64_t now_ms, uint64_t *ticket)
 {
-	struct admission_call *head = g_queue_peek_head(&a->queues[c]);
+	GList *best = best_waiting(a, c, now_ms);
+	struct admission_call *call = best ? best->data : NULL;
 
-	if (!head)
+	if (!call)
 		return 0;
-	if (a->in_use >= (floor ? a->slots : class_limit(a, head)))
+	if (a->in_use >= (floor ? a->slots : class_limit(a, call)))
 		return 0;
-	*ticket = head->ticket;
-	g_free(g_queue_pop_head(&a->queues[c]));
+	*ticket = call->ticket;
+	g_free(call);
+	g_queue_delete_link(&a->queues[c], best);
 	a->in_use++;
 	return 1;
 }
@@ -183,15 +218,16 @@
 
 	if (pop_expired(a, now_ms, ticket))
 		return ADMISSION_REFUSED;
-	if (background_due && pop_class(a, CALL_CLASS_BACKGROUND, 1, ticket)) {
+	if (background_due &&
+	    pop_class(a, CALL_CLASS_BACKGROUND, 1, now_ms, ticket)) {
 		a->grants = 0;
 		return ADMISSION_RUN;
 	}
-	if (pop_class(a, CALL_CLASS_URGENT, 0, ticket)) {
+	if (pop_class(a, CALL_CLASS_URGENT, 0, now_ms, ticket)) {
 		a->grants++;
 		return ADMISSION_RUN;
 	}
-	if (pop_class(a, CALL_CLASS_BACKGROUND, 0, ticket)) {
+	if (pop_class(a, CALL_CLASS_BACKGROUND, 0, now_ms, ticket)) {
 		a->grants = 0;
 		return ADMISSION_RUN;
 	}
@@ -214,6 +250,14 @@
 	return FESCUE_ENOTFOUND;
 }
 
+uint32_t admission_wait_ms(const struct admission *a)
+{
+	double queued = admission_queued(a);
+
+	return (uint32_t)(a->service_us / 1000 * (queued + 1) /
+			  MAX(a->slots, 1));
+}
+
 uint32_t admission_in_use(const struct admission *a)
 {
 	return a->in_use;
--- /dev/null
+++ b/src/announcement.c
@@ -0,0 +1,57 @@
+#include "fescue/announcement.h"
+
+#include <glib.h>
+#include <string.h>
+
+static int is_same_incarnation(const struct announcement *a,
+			       const struct announcement *b)
+{
+	return !strcmp(a->id, b->id) && (a->started_ms == b->started_ms ||
+					 !a->started_ms || !b->started_ms);
+}
+
+/* An equal start of another id: of two claims the one at hand is kept. */
+static int is_older(const struct announcement *a, const struct announcement *b)
+{
+	return a->started_ms && a->started_ms < b->started_ms;
+}
+
+enum announcement_verdict
+announcement_take(struct announcement_record *record,
+		  const struct announcement *announcement)
+{
+	const struct announcement *current = &record->current;
+
+	if (record->known && is_same_incarnation(announcement, current)) {
+		if (announcement->sequence &&
+		    announcement->sequence <= current->sequence)
+			return ANNOUNCEMENT_STALE;
+		/* Without a sequence, the latest word counts. */
+		if (!announcement->sequence)
+			record->leaving = 0;
+		record->leaving |= announcement->leaving;
+		record->current = *announcement;
+		return ANNOUNCEMENT_RENEWED;
+	}
+	if (record->known && is_older(announcement, current))
+		return ANNOUNCEMENT_STALE;
+	record->current = *announcement;
+	record->known = 1;
+	record->leaving = announcement->leaving;
+	return ANNOUNCEMENT_NEW;
+}
+
+int announcement_end(struct announcement_record *record, const char *id)
+{
+	if (!record->known) {
+		/* A late heartbeat of it must not bring it back. */
+		g_strlcpy(record->current.id, id, sizeof(record->current.id));
+		record->known = 1;
+		record->leaving = 1;
+		return 0;
+	}
+	if (strcmp(record->current.id, id))
+		return 0;
+	record->leaving = 1;
+	return 1;
+}
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -1,32 +1,30 @@
 #include "backend_server.h"
 
 #include "call_answer.h"
-#include "caller.h"
-#include "crash_report.h"
+#include "events.h"
+#include "fescue/answer_memory.h"
 #include "fescue/error.h"
 #include "http_client.h"
-#include "keyed_calls.h"
 #include "log.h"
 
 #include <inttypes.h>
-#include <jansson.h>
 #include <string.h>
 
-#define ANNOUNCEMENT_TTL_MS 3000
+/* Heartbeats come every second or two and may be seconds late. */
+#define ANNOUNCEMENT_TTL_MS 10000
 #define IDLE_CONNECTIONS_MAX 128
-#define SLOTS_MAX 10000
 /*
- * Before a host takes calls, the others must know that it exists: what they
- * have to tell it, such as a request that crashes backend servers, must not
- * come after the calls.
+ * A call that must not run twice is not sent on a connection that was idle
+ * for longer: the backend server may just be closing it.
  */
-#define ANNOUNCE_DELAY_MS 2000
+#define IDLE_UNSAFE_MS 2000
+/* How long a node that lost its link has to ask for its calls. */
+#define ORPHAN_MS 2500
 
 enum serving_state {
 	SERVING_QUEUED,
-	SERVING_CLAIMING, /* holds a slot; its key is being recorded */
 	SERVING_RUNNING, /* holds a slot */
-	SERVING_WAITING, /* no slot: waits for the outcome of its key */
+	SERVING_REPORTING, /* holds a slot; others are told of its crash */
 };
 
 /* One call that was sent to this node's backend server. */
@@ -38,27 +36,37 @@
 	enum serving_state state;
 	uint64_t deadline_ms;
 	uint64_t started_us;
+	uint64_t orphan_since_ms; /* 0: the link with its node stands */
 	struct http_call *http;
-	char *key; /* claimed before the run; NULL: none */
-	uint64_t keyed_id;
 	uint64_t fingerprint;
 	Fescue__Packet *answer; /* of a run that has ended */
 };
 
 struct backend_server {
-	struct node *node;
+	const struct task_links *links;
+	struct backend_server_settings settings;
 	struct admission *admission;
-	char service[HOST_NAME_BYTES];
-	struct address address;
-	struct http_pool *pool;
+	struct announcement_record record;
+	struct answer_memory *memory;
+	struct http_pool *pool; /* NULL: there is no backend server */
 	uint64_t expires_ms;
 	uint64_t announce_at_ms; /* the host itself is known by then */
-	int leaving;
-	int draining;
+	int unreachable; /* connections fail, until the next heartbeat */
+	int draining; /* the node itself is stopping */
 	uint64_t next_ticket;
 	GHashTable *servings; /* ticket -> struct serving */
 };
 
+static uint64_t now_ms(const struct backend_server *b)
+{
+	return task_now_ms(b->links);
+}
+
+static void count(struct backend_server *b, enum counter counter)
+{
+	b->links->counters->values[counter]++;
+}
+
 static void serving_free(gpointer p)
 {
 	struct serving *s = p;
@@ -67,34 +75,51 @@
 		http_call_cancel(s->http);
 	fescue__call_request__free_unpacked(s->request, NULL);
 	packet_destroy(s->answer);
-	g_free(s->key);
 	g_free(s);
 }
 
-/* Give the answer to the node the call came from, which may be this one. */
-static void deliver_answer(struct backend_server *b, uint64_t to,
-			   const Fescue__Packet *packet)
+static void answer_release(void *answer)
 {
-	if (to == b->node->own)
-		caller_table_answer(b->node->callers, to, packet->call_answer);
-	else
-		transport_send(b->node->transport, to, PACKET_CALL, packet);
+	packet_destroy(answer);
 }
 
+static Fescue__Packet *packet_copy(const Fescue__Packet *packet, size_t *size)
+{
+	uint8_t *bytes;
+	Fescue__Packet *copy;
+
+	*size = fescue__packet__get_packed_size(packet);
+	bytes = g_malloc(*size);
+	fescue__packet__pack(packet, bytes);
+	copy = fescue__packet__unpack(NULL, *size, bytes);
+	g_free(bytes);
+	return copy;
+}
+
+/* Send an answer; another node may ask for it once more. */
 static void send_answer(struct backend_server *b, uint64_t to,
 			Fescue__Packet *packet)
 {
-	deliver_answer(b, to, packet);
-	packet_destroy(packet);
+	Fescue__Packet *copy;
+	size_t size;
+
+	if (to != b->links->own) {
+		copy = packet_copy(packet, &size);
+		answer_memory_keep(b->memory, to, packet->call_answer->call_id,
+				   copy, size, now_ms(b));
+	}
+	task_send(b->links, to, packet);
 }
 
 static void refuse(struct backend_server *b, uint64_t to, uint64_t call_id,
 		   const char *reason)
 {
-	b->node->counters.values[COUNTER_served_refused]++;
-	send_answer(b, to,
-		    call_answer_create(b->admission, call_id, CALL_NOT_RUN,
-				       reason));
+	Fescue__Packet *packet =
+		call_answer_create(b->admission, call_id, CALL_NOT_RUN, reason);
+
+	count(b, COUNTER_served_refused);
+	packet->call_answer->retry_after_ms = admission_wait_ms(b->admission);
+	send_answer(b, to, packet);
 }
 
 static void start_next(struct backend_server *b);
@@ -112,14 +137,12 @@
 	case SERVING_QUEUED:
 		admission_cancel(b->admission, s->ticket);
 		break;
-	case SERVING_CLAIMING:
 	case SERVING_RUNNING:
+	case SERVING_REPORTING:
 		admission_finish(b->admission, spent_us);
-		histogram_record(&b->node->counters.service_us[call_class],
+		histogram_record(&b->links->counters->service_us[call_class],
 				 spent_us);
 		break;
-	case SERVING_WAITING:
-		break;
 	}
 	g_hash_table_remove(b->servings, &s->ticket);
 	start_next(b);
@@ -128,12 +151,7 @@
 /* Give the run's answer to its caller and free the slot. */
 static void finish_run(struct serving *s)
 {
-	struct backend_server *b = s->backend;
-	Fescue__Packet *packet = g_steal_pointer(&s->answer);
-
-	if (s->key)
-		keyed_calls_finish(b->node->keyed, s->key, packet->call_answer);
-	send_answer(b, s->from, packet);
+	send_answer(s->backend, s->from, g_steal_pointer(&s->answer));
 	serving_end(s);
 }
 
@@ -141,99 +159,134 @@
 static void on_crash_reported(void *data)
 {
 	struct serving *s = data;
+	struct backend_server *b = s->backend;
 
-	if (quarantine_refuses(s->backend->node->quarantine, s->fingerprint,
-			       node_now_ms(s->backend->node)))
+	if (quarantine_refuses(b->settings.quarantine, s->fingerprint,
+			       now_ms(b)))
 		s->answer->call_answer->final = 1;
 	finish_run(s);
 }
 
+/* Tell the fleet whether calls may be sent here. */
+static void publish(struct backend_server *b)
+{
+	const struct announcement *current = &b->record.current;
+	int known = now_ms(b) >= b->announce_at_ms;
+	struct backend_state state = {
+		.service = b->pool && known ? current->service : "",
+		.slots = admission_slots(b->admission),
+	};
+	int leaving = b->record.leaving || b->draining;
+
+	state.serving = b->pool && known && !leaving && !b->unreachable;
+	admission_set_draining(b->admission, leaving);
+	b->settings.changed(b->settings.data, &state);
+}
+
+/* Another backend server has the address, or none listens there. */
+static void note_unreachable(struct backend_server *b, const char *why)
+{
+	if (b->unreachable || !b->pool)
+		return;
+	b->unreachable = 1;
+	log_state("backend server %s: %s; no calls until its next heartbeat",
+		  b->record.current.id, why);
+	publish(b);
+}
+
+static void review_result(struct backend_server *b,
+			  const struct http_result *result)
+{
+	if (result->error)
+		count(b, COUNTER_backend_failures);
+	if (result->error && !result->sent)
+		note_unreachable(b, "connections fail");
+	else if (!result->error && result->status == 421)
+		note_unreachable(b, "another one has its address");
+}
+
 static void on_backend_answer(void *data, const struct http_result *result)
 {
 	struct serving *s = data;
 	struct backend_server *b = s->backend;
 
 	s->http = NULL;
-	s->answer = call_answer_of_result(b->admission, s->request->call_id,
-					  result);
-	if (result->error)
-		b->node->counters.values[COUNTER_backend_failures]++;
-	else
-		quarantine_clear(b->node->quarantine, s->fingerprint,
-				 node_now_ms(b->node));
-	if (s->answer->call_answer->suspect && b->pool)
-		crash_reports_begin(b->node->crashes, b->pool, b->service,
-				    s->fingerprint, on_crash_reported, s);
-	else
-		finish_run(s);
+	s->answer = call_answer_of_result(b->admission, b->links->headers,
+					  s->request->call_id, result);
+	review_result(b, result);
+	if (!result->error)
+		quarantine_clear(b->settings.quarantine, s->fingerprint,
+				 now_ms(b));
+	if (s->answer->call_answer->suspect && b->pool) {
+		s->state = SERVING_REPORTING;
+		crash_reports_begin(b->settings.crashes, b->pool,
+				    b->record.current.service, s->fingerprint,
+				    on_crash_reported, s);
+		return;
+	}
+	finish_run(s);
+}
+
+/* Headers for the backend server: the call's own, then what this node sets. */
+static size_t fill_headers(const struct serving *s, char *remaining,
+			   struct http_header *out)
+{
+	const struct header_names *names = s->backend->links->headers;
+	const Fescue__CallRequest *r = s->request;
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->n_headers; i++) {
+		out[n].name = r->headers[i]->name;
+		out[n++].value = r->headers[i]->value;
+	}
+	out[n].name = names->deadline;
+	out[n++].value = remaining;
+	if (names->target && s->backend->record.current.id[0]) {
+		out[n].name = names->target;
+		out[n++].value = s->backend->record.current.id;
+	}
+	return n;
+}
+
+static const char *find_request_id(const struct serving *s)
+{
+	const char *name = s->backend->links->headers->request_id;
+	const Fescue__CallRequest *r = s->request;
+
+	for (size_t i = 0; name && i < r->n_headers; i++)
+		if (!strcmp(r->headers[i]->name, name))
+			return r->headers[i]->value;
+	return NULL;
 }
 
 static void run(struct serving *s)
 {
 	struct backend_server *b = s->backend;
 	const Fescue__CallRequest *r = s->request;
-	uint64_t now_ms = node_now_ms(b->node);
 	struct http_header *headers =
-		g_new(struct http_header, r->n_headers + 1);
+		g_new(struct http_header, r->n_headers + 2);
 	char remaining[24];
 	struct http_request http = {
 		.method = r->method,
 		.path = r->path,
+		.host = *r->host ? r->host : NULL,
 		.headers = headers,
 		.body = r->body.data,
 		.body_size = r->body.len,
-		.timeout_ms = (uint32_t)(s->deadline_ms - now_ms),
+		.timeout_ms = (uint32_t)(s->deadline_ms - now_ms(b)),
+		.echo_name = b->links->headers->request_id,
+		.echo = find_request_id(s),
+		.idle_max_ms = r->idempotent ? 0 : IDLE_UNSAFE_MS,
 	};
 
-	for (size_t i = 0; i < r->n_headers; i++) {
-		headers[http.header_count].name = r->headers[i]->name;
-		headers[http.header_count++].value = r->headers[i]->value;
-	}
 	g_snprintf(remaining, sizeof(remaining), "%u", http.timeout_ms);
-	headers[http.header_count].name = "x-fescue-deadline-ms";
-	headers[http.header_count++].value = remaining;
+	http.header_count = fill_headers(s, remaining, headers);
 	s->state = SERVING_RUNNING;
-	b->node->counters.values[COUNTER_served_runs]++;
+	count(b, COUNTER_served_runs);
 	s->http = http_pool_send(b->pool, &http, on_backend_answer, s);
 	g_free(headers);
 }
 
-/* A call that will not run here is answered with another run's outcome. */
-static void on_keyed_answer(void *data, const Fescue__CallAnswer *answer)
-{
-	struct serving *s = data;
-	struct backend_server *b = s->backend;
-	Fescue__CallAnswer copy = *answer;
-	Fescue__Packet packet = FESCUE__PACKET__INIT;
-
-	copy.call_id = s->request->call_id;
-	copy.in_use = admission_in_use(b->admission);
-	copy.queued = admission_queued(b->admission);
-	copy.slots = admission_slots(b->admission);
-	packet.body_case = FESCUE__PACKET__BODY_CALL_ANSWER;
-	packet.call_answer = &copy;
-	deliver_answer(b, s->from, &packet);
-	serving_end(s);
-}
-
-static void on_keyed_run(void *data)
-{
-	run(data);
-}
-
-static void begin_keyed(struct serving *s)
-{
-	struct keyed_call_owner owner = { on_keyed_run, on_keyed_answer, s };
-	struct backend_server *b = s->backend;
-	uint64_t ticket = s->ticket, id;
-
-	id = keyed_calls_begin(b->node->keyed, s->key, s->deadline_ms, &owner);
-	/* It may have been answered at once. */
-	s = g_hash_table_lookup(b->servings, &ticket);
-	if (s)
-		s->keyed_id = id;
-}
-
 static void refuse_poisonous(struct serving *s)
 {
 	struct backend_server *b = s->backend;
@@ -242,7 +295,7 @@
 		"the request crashed two backend servers; correct it");
 
 	packet->call_answer->final = 1;
-	b->node->counters.values[COUNTER_quarantine_refused]++;
+	count(b, COUNTER_quarantine_refused);
 	send_answer(b, s->from, packet);
 	serving_end(s);
 }
@@ -252,22 +305,19 @@
 {
 	struct backend_server *b = s->backend;
 
-	s->state = SERVING_CLAIMING;
+	s->state = SERVING_RUNNING;
 	s->started_us = monotonic_clock_us();
-	if (node_now_ms(b->node) >= s->deadline_ms || !b->pool) {
+	if (now_ms(b) >= s->deadline_ms || !b->pool) {
 		refuse(b, s->from, s->request->call_id,
 		       b->pool ? "the deadline passed in the queue" :
 				 "the backend server is gone");
 		serving_end(s);
-		return;
-	}
-	if (quarantine_refuses(b->node->quarantine, s->fingerprint,
-			       node_now_ms(b->node)))
+	} else if (quarantine_refuses(b->settings.quarantine, s->fingerprint,
+				      now_ms(b))) {
 		refuse_poisonous(s);
-	else if (s->key)
-		begin_keyed(s);
-	else
+	} else {
 		run(s);
+	}
 }
 
 static void start_next(struct backend_server *b)
@@ -276,15 +326,15 @@
 	struct serving *s;
 	uint64_t ticket;
 
-	while ((verdict = admission_next(b->admission, node_now_ms(b->node),
-					 &ticket)) != ADMISSION_QUEUED) {
+	while ((verdict = admission_next(b->admission, now_ms(b), &ticket)) !=
+	       ADMISSION_QUEUED) {
 		s = g_hash_table_lookup(b->servings, &ticket);
 		g_assert(s);
 		if (verdict == ADMISSION_RUN) {
 			begin(s);
 			continue;
 		}
-		b->node->counters.values[COUNTER_served_expired]++;
+		count(b, COUNTER_served_expired);
 		refuse(b, s->from, s->request->call_id,
 		       "the deadline passed in the queue");
 		g_hash_table_remove(b->servings, &ticket);
@@ -292,67 +342,76 @@
 }
 
 static struct serving *serving_create(struct backend_server *b, uint64_t from,
-				      const Fescue__CallRequest *request)
+				      Fescue__CallRequest *request)
 {
 	struct serving *s = g_new0(struct serving, 1);
 
 	s->backend = b;
 	s->ticket = ++b->next_ticket;
 	s->from = from;
-	s->request = call_request_copy(request);
-	s->deadline_ms = node_now_ms(b->node) + request->deadline_ms;
+	s->request = request;
+	s->deadline_ms = now_ms(b) + request->deadline_ms;
 	s->fingerprint = quarantine_fingerprint(request->service,
 						request->method, request->path,
 						request->body.data,
 						request->body.len);
-	if (!request->idempotent && *request->key && b->node->settings.claims)
-		s->key = g_strdup_printf("%s/%s", request->service,
-					 request->key);
 	g_hash_table_insert(b->servings, &s->ticket, s);
 	return s;
 }
 
-/* A resend of a key whose outcome is known here needs no slot. */
-static int serve_from_memory(struct backend_server *b, uint64_t from,
-			     const Fescue__CallRequest *request)
+static struct serving *find_serving(struct backend_server *b, uint64_t from,
+				    uint64_t call_id)
 {
-	struct serving *s;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->servings);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct serving *s = value;
 
-	if (request->idempotent || !*request->key || !b->node->settings.claims)
-		return 0;
-	s = serving_create(b, from, request);
-	if (!keyed_calls_knows(b->node->keyed, s->key)) {
-		g_hash_table_remove(b->servings, &s->ticket);
-		b->next_ticket--;
-		return 0;
+		if (s->from == from && s->request->call_id == call_id)
+			return s;
 	}
-	s->state = SERVING_WAITING;
-	begin_keyed(s);
-	return 1;
+	return NULL;
 }
 
-void backend_server_call(struct backend_server *b, uint64_t from,
-			 const Fescue__CallRequest *request)
+static enum admission_verdict offer(struct backend_server *b,
+				    const Fescue__CallRequest *request,
+				    enum admission_reason *reason)
 {
+	uint64_t now = now_ms(b);
 	struct admission_call call = {
+		.ticket = b->next_ticket + 1,
 		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
 						    CALL_CLASS_URGENT,
-		.deadline_ms = node_now_ms(b->node) + request->deadline_ms,
+		.rank = request->rank,
+		.due_ms = now + request->latency_ms,
+		.deadline_ms = now + request->deadline_ms,
 		.queue = request->queue,
 		.reserve_percent = MIN(request->reserve_percent, 90),
 	};
+
+	if (!b->pool || b->unreachable ||
+	    strcmp(request->service, b->record.current.service)) {
+		*reason = ADMISSION_NO_BACKEND;
+		return ADMISSION_REFUSED;
+	}
+	return admission_offer(b->admission, &call, now, reason);
+}
+
+void backend_server_call(struct backend_server *b, uint64_t from,
+			 Fescue__CallRequest *request)
+{
 	enum admission_reason reason;
+	void *answer;
 
-	if (serve_from_memory(b, from, request))
-		return;
-	if (strcmp(request->service, b->service) || !b->pool) {
-		refuse(b, from, request->call_id,
-		       admission_reason_text(ADMISSION_NO_BACKEND));
+	/* A request that was overtaken by its query has been barred. */
+	if (answer_memory_find(b->memory, from, request->call_id, &answer) !=
+	    ANSWER_UNKNOWN) {
+		fescue__call_request__free_unpacked(request, NULL);
 		return;
 	}
-	call.ticket = b->next_ticket + 1;
-	switch (admission_offer(b->admission, &call, node_now_ms(b->node),
-				&reason)) {
+	switch (offer(b, request, &reason)) {
 	case ADMISSION_RUN:
 		begin(serving_create(b, from, request));
 		break;
@@ -362,28 +421,59 @@
 	case ADMISSION_REFUSED:
 		refuse(b, from, request->call_id,
 		       admission_reason_text(reason));
+		fescue__call_request__free_unpacked(request, NULL);
 		break;
 	}
 }
 
-/* The caller gave up; a call that runs has its connection closed. */
+/* The caller gave up. A call with effects must not be cut half-way. */
 static void cancel_serving(struct serving *s)
 {
-	if (s->answer)
-		return; /* the run is over; its crash is being reported */
-	if (s->state == SERVING_RUNNING && s->http) {
-		http_call_cancel(s->http);
-		s->http = NULL;
-	}
-	if (s->keyed_id)
-		keyed_calls_abandon(s->backend->node->keyed, s->keyed_id);
+	if (s->state == SERVING_REPORTING ||
+	    (s->state == SERVING_RUNNING && !s->request->idempotent))
+		return;
 	serving_end(s);
 }
 
-static GPtrArray *find_servings(struct backend_server *b, uint64_t from,
-				uint64_t call_id)
+void backend_server_cancel(struct backend_server *b, uint64_t from,
+			   uint64_t call_id)
+{
+	struct serving *s = find_serving(b, from, call_id);
+
+	if (s)
+		cancel_serving(s);
+	else
+		answer_memory_bar(b->memory, from, call_id, now_ms(b));
+}
+
+void backend_server_query(struct backend_server *b, uint64_t from,
+			  uint64_t call_id)
+{
+	struct serving *s = find_serving(b, from, call_id);
+	Fescue__Packet *packet;
+	void *answer;
+	size_t size;
+
+	if (s) {
+		s->orphan_since_ms = 0;
+		packet = packet_create(FESCUE__PACKET__BODY_CALL_RUNNING);
+		packet->call_running->call_id = call_id;
+		task_send(b->links, from, packet);
+		return;
+	}
+	if (answer_memory_find(b->memory, from, call_id, &answer) ==
+	    ANSWER_KEPT) {
+		task_send(b->links, from, packet_copy(answer, &size));
+		return;
+	}
+	answer_memory_bar(b->memory, from, call_id, now_ms(b));
+	task_send(b->links, from,
+		  call_answer_create(b->admission, call_id, CALL_NOT_RUN,
+				     "the request never arrived"));
+}
+
+void backend_server_peer_gone(struct backend_server *b, uint64_t peer)
 {
-	GPtrArray *found = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer value;
 
@@ -391,133 +481,148 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct serving *s = value;
 
-		if (s->from == from &&
-		    (!call_id || s->request->call_id == call_id))
-			g_ptr_array_add(found, s);
+		if (s->from == peer && !s->orphan_since_ms)
+			s->orphan_since_ms = now_ms(b);
 	}
-	return found;
 }
 
-static void cancel_matching(struct backend_server *b, uint64_t from,
-			    uint64_t call_id)
+/* Tickets, because ending one serving may end others. */
+static GArray *collect_tickets(const struct backend_server *b)
 {
-	GPtrArray *found = find_servings(b, from, call_id);
-
-	for (guint i = 0; i < found->len; i++) {
-		struct serving *s = g_ptr_array_index(found, i);
+	GArray *tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer key;
 
-		/* A call with effects runs on: it must not be cut half-way. */
-		if (s->state != SERVING_RUNNING || s->request->idempotent)
-			cancel_serving(s);
-	}
-	g_ptr_array_free(found, TRUE);
+	g_hash_table_iter_init(&iter, b->servings);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_array_append_vals(tickets, key, 1);
+	return tickets;
 }
 
-void backend_server_cancel(struct backend_server *b, uint64_t from,
-			   uint64_t call_id)
+/* Hand queued calls back, so that their nodes send them elsewhere. */
+static void return_queued(struct backend_server *b, const char *reason)
 {
-	cancel_matching(b, from, call_id);
+	GArray *tickets = collect_tickets(b);
+
+	for (guint i = 0; i < tickets->len; i++) {
+		uint64_t ticket = g_array_index(tickets, uint64_t, i);
+		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
+
+		if (!s || s->state != SERVING_QUEUED)
+			continue;
+		admission_cancel(b->admission, ticket);
+		refuse(b, s->from, s->request->call_id, reason);
+		g_hash_table_remove(b->servings, &ticket);
+	}
+	g_array_free(tickets, TRUE);
 }
 
-void backend_server_peer_gone(struct backend_server *b, uint64_t peer)
+static void release_pool(struct backend_server *b)
 {
-	cancel_matching(b, peer, 0);
+	http_pool_release(b->pool);
+	b->pool = NULL;
 }
 
-/* Publish what the rest of the fleet needs to know. */
-static void publish(struct backend_server *b)
+/* Another incarnation stands beside the node now. */
+static void replace_backend(struct backend_server *b)
 {
-	struct node *node = b->node;
-	int known = node_now_ms(node) >= b->announce_at_ms;
-	int serving = b->pool && known && !b->leaving && !b->draining;
+	const struct announcement *current = &b->record.current;
 
-	admission_set_draining(b->admission, b->leaving || b->draining);
-	membership_set_backend(node->membership,
-			       b->pool && known ? b->service : "",
-			       admission_slots(b->admission), serving);
-	node_update_config(node);
+	log_state("backend server %s announced service %s", current->id,
+		  current->service);
+	release_pool(b);
+	b->pool = http_pool_create(b->links->loop, current->address,
+				   IDLE_CONNECTIONS_MAX);
 }
 
-static void set_address(struct backend_server *b, struct address address)
+static void review_leaving(struct backend_server *b, int before)
 {
-	if (b->pool && address_key(address) == address_key(b->address))
+	if (before || !b->record.leaving)
 		return;
-	http_pool_release(b->pool);
-	b->address = address;
-	b->pool =
-		http_pool_create(b->node->loop, address, IDLE_CONNECTIONS_MAX);
+	log_state("backend server %s of %s is leaving", b->record.current.id,
+		  b->record.current.service);
+	publish(b);
+	return_queued(b, "the backend server is leaving");
 }
 
-static int read_announcement(struct backend_server *b, json_t *object)
+void backend_server_announce(struct backend_server *b,
+			     const struct announcement *announcement)
 {
-	const char *service =
-		json_string_value(json_object_get(object, "service"));
-	const char *text =
-		json_string_value(json_object_get(object, "address"));
-	json_int_t slots = json_integer_value(json_object_get(object, "slots"));
-	struct address address;
+	int before = b->record.known && b->record.leaving;
+	struct address address = b->record.current.address;
 
-	if (!service || !*service || strlen(service) >= sizeof(b->service) ||
-	    !text || address_parse(text, &address) || slots < 1 ||
-	    slots > SLOTS_MAX)
-		return FESCUE_EINVAL;
-	if (!b->pool || strcmp(b->service, service))
-		log_state("backend server %s announced service %s", text,
-			  service);
-	g_strlcpy(b->service, service, sizeof(b->service));
-	set_address(b, address);
-	admission_set_slots(b->admission, (uint32_t)slots);
-	return FESCUE_OK;
-}
-
-void backend_server_announce(struct backend_server *b,
-			     struct http_exchange *exchange)
-{
-	struct http_text body = http_exchange_body(exchange);
-	json_t *object = json_loadb(body.bytes, body.size, 0, NULL);
-	int error = object ? read_announcement(b, object) : FESCUE_EINVAL;
-
-	json_decref(object);
-	if (error) {
-		http_exchange_reply_text(
-			exchange, 400, "text/plain",
-			"announcement refused; send {\"service\": NAME, "
-			"\"address\": \"IP:PORT\", \"slots\": 1 to 10000}\n");
+	switch (announcement_take(&b->record, announcement)) {
+	case ANNOUNCEMENT_STALE:
+		log_state("a heartbeat of %s is stale", announcement->id);
 		return;
+	case ANNOUNCEMENT_NEW:
+		before = 0;
+		replace_backend(b);
+		break;
+	case ANNOUNCEMENT_RENEWED:
+		if (!b->pool ||
+		    address_key(address) != address_key(announcement->address))
+			replace_backend(b);
+		break;
 	}
-	b->node->counters.values[COUNTER_backend_announcements]++;
-	b->expires_ms = node_now_ms(b->node) + ANNOUNCEMENT_TTL_MS;
-	b->leaving = 0;
+	count(b, COUNTER_backend_announcements);
+	b->unreachable = 0;
+	b->expires_ms = now_ms(b) + ANNOUNCEMENT_TTL_MS;
+	admission_set_slots(b->admission, announcement->slots);
 	publish(b);
+	review_leaving(b, before);
 	start_next(b);
-	http_exchange_reply_text(exchange, 200, "text/plain", "announced\n");
 }
 
-void backend_server_leave(struct backend_server *b,
-			  struct http_exchange *exchange)
+void backend_server_leave(struct backend_server *b, const char *id)
+{
+	int before = b->record.leaving;
+
+	if (!id)
+		b->record.leaving = 1;
+	else
+		announcement_end(&b->record, id);
+	review_leaving(b, before);
+}
+
+static void expire_announcement(struct backend_server *b)
 {
-	if (!b->leaving)
-		log_state("backend server of %s is leaving", b->service);
-	b->leaving = 1;
+	if (!b->pool || now_ms(b) < b->expires_ms)
+		return;
+	log_state("backend server of %s no longer announces itself",
+		  b->record.current.service);
+	count(b, COUNTER_backend_expired);
+	release_pool(b);
+	admission_set_slots(b->admission, 0);
 	publish(b);
-	http_exchange_reply_text(exchange, 200, "text/plain", "leaving\n");
+	return_queued(b, "the backend server is gone");
 }
 
-void backend_server_tick(struct backend_server *b)
+/* Calls whose node did not come back for them. */
+static void expire_orphans(struct backend_server *b)
 {
-	if (b->pool && node_now_ms(b->node) >= b->expires_ms) {
-		log_state("backend server of %s no longer announces itself",
-			  b->service);
-		b->node->counters.values[COUNTER_backend_expired]++;
-		http_pool_release(b->pool);
-		b->pool = NULL;
-		admission_set_slots(b->admission, 0);
-		publish(b);
+	GArray *tickets = collect_tickets(b);
+
+	for (guint i = 0; i < tickets->len; i++) {
+		uint64_t ticket = g_array_index(tickets, uint64_t, i);
+		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
+
+		if (s && s->orphan_since_ms &&
+		    now_ms(b) >= s->orphan_since_ms + ORPHAN_MS)
+			cancel_serving(s);
 	}
-	if (b->announce_at_ms && node_now_ms(b->node) >= b->announce_at_ms) {
-		publish(b);
+	g_array_free(tickets, TRUE);
+}
+
+void backend_server_tick(struct backend_server *b)
+{
+	expire_announcement(b);
+	if (b->announce_at_ms && now_ms(b) >= b->announce_at_ms) {
 		b->announce_at_ms = 0;
+		publish(b);
 	}
+	expire_orphans(b);
+	answer_memory_expire(b->memory, now_ms(b));
 	start_next(b);
 }
 
@@ -525,16 +630,20 @@
 {
 	b->draining = 1;
 	publish(b);
+	return_queued(b, "the node is stopping");
 }
 
-struct backend_server *backend_server_create(struct node *node)
+struct backend_server *
+backend_server_create(const struct task_links *links,
+		      const struct backend_server_settings *settings)
 {
 	struct backend_server *b = g_new0(struct backend_server, 1);
 
-	b->node = node;
-	b->announce_at_ms = node_now_ms(node) + ANNOUNCE_DELAY_MS;
-	b->admission = admission_create(
-		(enum admission_policy)node->settings.admission_policy);
+	b->links = links;
+	b->settings = *settings;
+	b->announce_at_ms = task_now_ms(links) + settings->announce_delay_ms;
+	b->admission = admission_create(settings->policy);
+	b->memory = answer_memory_create(answer_release);
 	b->servings = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    serving_free);
 	return b;
@@ -545,7 +654,9 @@
 	if (!b)
 		return;
 	g_hash_table_destroy(b->servings);
+	answer_memory_destroy(b->memory);
 	admission_destroy(b->admission);
+	http_pool_release(b->pool);
 	g_free(b);
 }
 
@@ -556,7 +667,7 @@
 
 const char *backend_server_service(const struct backend_server *b)
 {
-	return b->pool ? b->service : "";
+	return b->pool ? b->record.current.service : "";
 }
 
 uint32_t backend_server_in_use(const struct backend_server *b)
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -5,33 +5,63 @@
 #ifndef FESCUE_BACKEND_SERVER_H
 #define FESCUE_BACKEND_SERVER_H
 
-#include "node.h"
+#include "crash_report.h"
+#include "fescue/admission.h"
+#include "fescue/announcement.h"
+#include "task_links.h"
 
-struct backend_server *backend_server_create(struct node *node);
+struct backend_server;
+
+/* What others need to know of the backend server. */
+struct backend_state {
+	const char *service; /* "": there is none */
+	uint32_t slots;
+	int serving; /* takes new calls */
+};
+
+struct backend_server_settings {
+	enum admission_policy policy;
+	uint32_t announce_delay_ms; /* after the start of the node */
+	struct quarantine *quarantine;
+	struct crash_reports *crashes;
+	/* Its state may have changed. */
+	void (*changed)(void *data, const struct backend_state *state);
+	void *data;
+};
+
+/* links must outlive the backend server. */
+struct backend_server *
+backend_server_create(const struct task_links *links,
+		      const struct backend_server_settings *settings);
 void backend_server_destroy(struct backend_server *backend);
 
-/* POST /backend: the backend server announces itself; kept for some seconds.
- */
+/* A heartbeat; from now on calls go there, or no more when it is leaving. */
 void backend_server_announce(struct backend_server *backend,
-			     struct http_exchange *exchange);
+			     const struct announcement *announcement);
 
-/* POST /backend/leave: it takes no new calls from now on. */
-void backend_server_leave(struct backend_server *backend,
-			  struct http_exchange *exchange);
+/* The backend server named id, or the only one for NULL, takes no new calls. */
+void backend_server_leave(struct backend_server *backend, const char *id);
 
-/* Serve a call that from (a node, perhaps this one) sent here. */
+/*
+ * Serve a call that from (a node, perhaps this one) sent here. Takes
+ * ownership of the request.
+ */
 void backend_server_call(struct backend_server *backend, uint64_t from,
-			 const Fescue__CallRequest *request);
+			 Fescue__CallRequest *request);
 void backend_server_cancel(struct backend_server *backend, uint64_t from,
 			   uint64_t call_id);
 
-/* The node that sent calls is gone: cancel what it waits for. */
+/* from lost its link and asks what became of a call. */
+void backend_server_query(struct backend_server *backend, uint64_t from,
+			  uint64_t call_id);
+
+/* The link with a node that may have sent calls is gone. */
 void backend_server_peer_gone(struct backend_server *backend, uint64_t peer);
 
 /* Advance time: expire the announcement and queued calls. */
 void backend_server_tick(struct backend_server *backend);
 
-/* Refuse every new call from now on. */
+/* Refuse every new call from now on; queued ones are handed back. */
 void backend_server_drain(struct backend_server *backend);
 
 /* Calls queued or running. */
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -1,8 +1,8 @@
 #include "bootstrap.h"
 
-#include "fescue/envelope.h"
 #include "fescue/error.h"
 #include "fescue/floor.h"
+#include "interface.h"
 #include "log.h"
 
 #include <string.h>
@@ -16,11 +16,16 @@
 #define ASK_PEERS_MAX 32 /* a second: within the control budget */
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
+/*
+ * After a change the next one is not looked for at once: a storm of versions
+ * is read once. Well below the time in which a change must be in force.
+ */
+#define WATCH_PAUSE_MS 400
 
 enum boot_phase {
 	BOOT_WAIT, /* for the next attempt's time */
 	BOOT_LIST, /* reading the rendezvous records */
-	BOOT_REVISION, /* reading the configuration's revision */
+	BOOT_VALUE, /* reading the configuration */
 	BOOT_DONE,
 };
 
@@ -37,7 +42,7 @@
 	struct store_call *boot_call;
 	int watching;
 	struct store_call *watch_call;
-	uint64_t watch_after;
+	uint64_t watch_after; /* revision of the store; 0: read the key first */
 	uint64_t watch_at_ms;
 	uint32_t watch_retry_ms;
 	uint64_t lease;
@@ -78,9 +83,38 @@
 		node_now_ms(b->node) + jitter(b, back_off(&b->retry_ms));
 }
 
-static void on_revision(void *data, const struct store_result *result)
+static const char *config_key(const struct bootstrap *b)
+{
+	return interface_config_key(b->node->settings.interface);
+}
+
+/* Hand a stored value to the distribution; returns the version it names. */
+static uint64_t take_value(struct bootstrap *b,
+			   const struct store_result *result)
+{
+	struct node *node = b->node;
+	struct config_value value;
+	uint64_t version;
+
+	interface_decode_config(node->settings.interface, result->revision,
+				result->value, result->size, &value);
+	version = value.version;
+	if (!version) {
+		log_error("the stored configuration is refused: %s", value.why);
+	} else {
+		distribution_store_value(node->distribution, version,
+					 value.text, value.size, value.why,
+					 node_now_ms(node), &node->outbox);
+		node_update_config(node);
+	}
+	config_value_clear(&value);
+	return version;
+}
+
+static void on_boot_value(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
+	uint64_t version = 0;
 
 	b->boot_call = NULL;
 	note_store(b, result->error);
@@ -88,10 +122,13 @@
 		retry_boot(b);
 		return;
 	}
-	floor_confirm_by_store(&b->floor, result->revision);
+	if (!result->error)
+		version = take_value(b, result);
+	b->watch_after = result->store_revision;
+	floor_confirm_by_store(&b->floor, version);
 	b->phase = BOOT_DONE;
 	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
-		  result->revision);
+		  version);
 }
 
 static void join(struct bootstrap *b, const struct store_item *item)
@@ -120,9 +157,9 @@
 	node_flush(b->node);
 	b->role_at_ms =
 		node_now_ms(b->node) + (result->item_count ? ROLE_DELAY_MS : 0);
-	b->phase = BOOT_REVISION;
+	b->phase = BOOT_VALUE;
 	b->boot_call =
-		store_get(b->node->store, STORE_CONFIG_KEY, 1, on_revision, b);
+		store_get(b->node->store, config_key(b), on_boot_value, b);
 }
 
 /* While the store is out, peers that were heard for a while know the floor. */
@@ -142,6 +179,9 @@
 				    membership_highest_version(membership),
 				    now_ms))
 		return;
+	if (b->boot_call)
+		store_call_cancel(b->boot_call);
+	b->boot_call = NULL;
 	b->phase = BOOT_DONE;
 	log_state("floor confirmed by peers at version %" G_GUINT64_FORMAT,
 		  b->floor.version);
@@ -157,37 +197,66 @@
 	confirm_by_peers(b, now_ms);
 }
 
-static void take_value(struct bootstrap *b, const struct store_result *result)
+static void watch_failed(struct bootstrap *b, int error)
 {
-	struct envelope envelope;
-	struct node *node = b->node;
-	int bad = !result->value ||
-		  envelope_parse(result->value, result->size, &envelope);
-
-	b->watch_after = result->revision;
-	distribution_store_value(node->distribution, result->revision,
-				 bad ? NULL : envelope.text,
-				 bad ? 0 : envelope.text_size,
-				 "the stored value has no fescue header",
-				 node_now_ms(node), &node->outbox);
-	node_update_config(node);
+	b->watch_at_ms =
+		node_now_ms(b->node) + jitter(b, back_off(&b->watch_retry_ms));
+	note_store(b, error);
+}
+
+static void watch_succeeded(struct bootstrap *b,
+			    const struct store_result *result, uint32_t pause)
+{
+	b->watch_retry_ms = RETRY_MIN_MS;
+	b->watch_at_ms = node_now_ms(b->node) + pause;
+	if (result->store_revision)
+		b->watch_after = result->store_revision;
+	note_store(b, FESCUE_OK);
+}
+
+/* Read the key anew: the history from where the watch stood is gone. */
+static void on_reread(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->watch_call = NULL;
+	if (result->error && result->error != FESCUE_ENOTFOUND) {
+		watch_failed(b, result->error);
+		return;
+	}
+	if (!result->error)
+		take_value(b, result);
+	watch_succeeded(b, result, 0);
 }
 
 static void on_watch(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
-	uint64_t now_ms = node_now_ms(b->node);
 
 	b->watch_call = NULL;
-	if (result->error == FESCUE_OK) {
-		b->watch_retry_ms = RETRY_MIN_MS;
-		b->watch_at_ms = now_ms;
-		note_store(b, FESCUE_OK);
+	switch (result->error) {
+	case FESCUE_OK:
 		take_value(b, result);
-	} else {
-		b->watch_at_ms =
-			now_ms + jitter(b, back_off(&b->watch_retry_ms));
-		note_store(b, result->error);
+		watch_succeeded(b, result, WATCH_PAUSE_MS);
+		break;
+	case FESCUE_ENOTFOUND: /* removed: what is in force stays */
+		log_error("the stored configuration was removed; apply it "
+			  "again");
+		watch_succeeded(b, result, WATCH_PAUSE_MS);
+		break;
+	case FESCUE_EGONE:
+		b->watch_after = 0;
+		b->watch_at_ms = 0;
+		break;
+	default:
+		if (result->store_revision) {
+			watch_succeeded(b, result, 0);
+			break;
+		}
+		/* Changes may have been missed: read the key first. */
+		b->watch_after = 0;
+		watch_failed(b, result->error);
+		break;
 	}
 }
 
@@ -202,8 +271,11 @@
 	if (!b->watching || b->watch_call || now_ms < b->watch_at_ms ||
 	    !may_take_role(b, now_ms))
 		return;
-	b->watch_call = store_watch(b->node->store, STORE_CONFIG_KEY,
-				    b->watch_after, on_watch, b);
+	b->watch_call =
+		b->watch_after ?
+			store_watch(b->node->store, config_key(b),
+				    b->watch_after, on_watch, b) :
+			store_get(b->node->store, config_key(b), on_reread, b);
 }
 
 /* Join the addresses found, so that separate groups of nodes merge. */
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -4,18 +4,6 @@
 
 #include <string.h>
 
-Fescue__CallRequest *call_request_copy(const Fescue__CallRequest *request)
-{
-	size_t size = fescue__call_request__get_packed_size(request);
-	uint8_t *bytes = g_malloc(size);
-	Fescue__CallRequest *copy;
-
-	fescue__call_request__pack(request, bytes);
-	copy = fescue__call_request__unpack(NULL, size, bytes);
-	g_free(bytes);
-	return copy;
-}
-
 Fescue__Packet *call_answer_create(const struct admission *admission,
 				   uint64_t call_id, enum call_outcome outcome,
 				   const char *reason)
@@ -63,40 +51,75 @@
 	}
 }
 
-/* The backend server itself says that it shed the call before running it. */
-static int backend_shed(const struct http_result *result)
+/* The backend server itself says that it did not run the call. */
+static int backend_shed(const struct header_names *headers,
+			const struct http_result *result)
 {
-	const char *outcome = http_result_header(result, "x-fescue-outcome");
+	const char *outcome;
 
+	if (headers->not_executed)
+		return result->status == 421 ||
+		       http_result_header(result, headers->not_executed);
+	outcome = http_result_header(result, headers->outcome);
 	return result->status == 503 && outcome && !strcmp(outcome, "not-run");
 }
 
+/* Bytes that no backend server signed are no answer of it. */
+static int is_unsigned(const struct header_names *headers,
+		       const struct http_result *result)
+{
+	return headers->signature &&
+	       !http_result_header(result, headers->signature);
+}
+
+static Fescue__Packet *answer_of_run(const struct admission *admission,
+				     uint64_t call_id,
+				     const struct http_result *result)
+{
+	Fescue__Packet *packet =
+		call_answer_create(admission, call_id, CALL_RAN, "");
+	Fescue__CallAnswer *answer = packet->call_answer;
+
+	answer->status = (uint32_t)result->status;
+	add_answer_headers(answer, result);
+	packet_set_bytes(&answer->body, result->body, result->body_size);
+	answer->body_bytes = result->body_size;
+	answer->arrived = 1;
+	return packet;
+}
+
+static const char *failure_reason(const struct http_result *result)
+{
+	if (!result->error)
+		return "the backend server's answer is not signed";
+	if (result->error == FESCUE_ETIMEOUT)
+		return "no answer before the deadline";
+	return "the backend server broke off";
+}
+
 Fescue__Packet *call_answer_of_result(const struct admission *admission,
+				      const struct header_names *headers,
 				      uint64_t call_id,
 				      const struct http_result *result)
 {
 	Fescue__Packet *packet;
 
-	if (!result->error && backend_shed(result))
-		return call_answer_create(admission, call_id, CALL_NOT_RUN,
-					  "the backend server shed the call");
-	if (!result->error) {
-		packet = call_answer_create(admission, call_id, CALL_RAN, "");
-		packet->call_answer->status = (uint32_t)result->status;
-		add_answer_headers(packet->call_answer, result);
-		packet_set_bytes(&packet->call_answer->body, result->body,
-				 result->body_size);
-		packet->call_answer->body_bytes = result->body_size;
+	if (!result->error && backend_shed(headers, result)) {
+		packet = call_answer_create(admission, call_id, CALL_NOT_RUN,
+					    "the backend server shed the call");
+		packet->call_answer->arrived = 1;
 		return packet;
 	}
+	if (!result->error && !is_unsigned(headers, result))
+		return answer_of_run(admission, call_id, result);
 	if (!result->sent)
 		return call_answer_create(
 			admission, call_id, CALL_NOT_RUN,
 			"no connection to the backend server");
 	packet = call_answer_create(admission, call_id, CALL_UNKNOWN,
-				    result->error == FESCUE_ETIMEOUT ?
-					    "no answer before the deadline" :
-					    "the backend server broke off");
-	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL;
+				    failure_reason(result));
+	packet->call_answer->arrived = 1;
+	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL &&
+				       !result->answered && !result->reused;
 	return packet;
 }
--- a/src/call_answer.h
+++ b/src/call_answer.h
@@ -7,6 +7,7 @@
 #include "fescue/admission.h"
 #include "fescue/retry.h"
 #include "http_client.h"
+#include "interface.h"
 #include "packet.h"
 
 /* An answer without a body that carries the target's load. */
@@ -16,9 +17,8 @@
 
 /* The answer that the backend server's own answer, or its absence, gives. */
 Fescue__Packet *call_answer_of_result(const struct admission *admission,
+				      const struct header_names *headers,
 				      uint64_t call_id,
 				      const struct http_result *result);
 
-Fescue__CallRequest *call_request_copy(const Fescue__CallRequest *request);
-
 #endif
--- /dev/null
+++ b/src/call_reply.c
@@ -0,0 +1,66 @@
+#include "call_reply.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+/* When no host said when there may be room. */
+#define RETRY_AFTER_DEFAULT_MS 200
+#define RETRY_AFTER_MIN_MS 50
+#define RETRY_AFTER_MAX_MS 5000
+
+void call_reply_answer(struct http_exchange *exchange,
+		       const struct header_names *names,
+		       const Fescue__CallAnswer *answer, uint64_t version)
+{
+	struct http_header *headers =
+		g_new(struct http_header, answer->n_headers + 2);
+	size_t n = 0;
+	char number[24];
+
+	for (size_t i = 0; i < answer->n_headers; i++) {
+		if (names->outcome &&
+		    !strcmp(answer->headers[i]->name, names->outcome))
+			continue;
+		headers[n].name = answer->headers[i]->name;
+		headers[n++].value = answer->headers[i]->value;
+	}
+	if (names->outcome) {
+		headers[n].name = names->outcome;
+		headers[n++].value = call_outcome_name(CALL_RAN);
+	}
+	if (names->version) {
+		g_snprintf(number, sizeof(number), "%" PRIu64, version);
+		headers[n].name = names->version;
+		headers[n++].value = number;
+	}
+	http_exchange_reply(exchange, (int)answer->status, headers, n,
+			    answer->body.data, answer->body.len);
+	g_free(headers);
+}
+
+void call_reply_failure(struct http_exchange *exchange,
+			const struct header_names *names, int status,
+			enum call_outcome outcome, uint32_t retry_after_ms,
+			const char *reason)
+{
+	struct http_header headers[3] = { { "content-type", "text/plain" } };
+	uint32_t ms = retry_after_ms ? retry_after_ms : RETRY_AFTER_DEFAULT_MS;
+	char seconds[16];
+	size_t n = 1;
+	char *body =
+		g_strdup_printf("%s: %s\n", call_outcome_name(outcome), reason);
+
+	if (names->outcome) {
+		headers[n].name = names->outcome;
+		headers[n++].value = call_outcome_name(outcome);
+	}
+	if (status == 503) {
+		ms = CLAMP(ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+		g_snprintf(seconds, sizeof(seconds), "%u.%03u", ms / 1000,
+			   ms % 1000);
+		headers[n].name = "retry-after";
+		headers[n++].value = seconds;
+	}
+	http_exchange_reply(exchange, status, headers, n, body, strlen(body));
+	g_free(body);
+}
--- /dev/null
+++ b/src/call_request.c
@@ -0,0 +1,121 @@
+#include "call_request.h"
+
+#include <string.h>
+
+static void header_free(gpointer p)
+{
+	fescue__header__free_unpacked(p, NULL);
+}
+
+static Fescue__Header *header_create(struct http_text name,
+				     struct http_text value)
+{
+	Fescue__Header *header = g_new(Fescue__Header, 1);
+
+	fescue__header__init(header);
+	header->name = g_ascii_strdown(name.bytes, (gssize)name.size);
+	header->value = g_strndup(value.bytes, value.size);
+	return header;
+}
+
+static int text_is(struct http_text text, const char *word)
+{
+	return word && text.size == strlen(word) &&
+	       !g_ascii_strncasecmp(text.bytes, word, text.size);
+}
+
+static int is_hop_by_hop(struct http_text name)
+{
+	static const char *const names[] = { "connection",
+					     "keep-alive",
+					     "content-length",
+					     "host",
+					     "transfer-encoding",
+					     "upgrade",
+					     "expect",
+					     "te",
+					     "trailer",
+					     "proxy-connection" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (text_is(name, names[i]))
+			return 1;
+	return 0;
+}
+
+static int is_set_by_node(struct http_text name,
+			  const struct header_names *names)
+{
+	return text_is(name, names->deadline) || text_is(name, names->target) ||
+	       text_is(name, names->caller_service) ||
+	       text_is(name, "x-fescue-depth");
+}
+
+static void add(struct call_headers *headers, const char *name,
+		const char *value)
+{
+	struct http_text n = { name, strlen(name) };
+	struct http_text v = { value, strlen(value) };
+
+	g_ptr_array_add(headers->list, header_create(n, v));
+}
+
+void call_headers_collect(struct call_headers *headers,
+			  const struct http_exchange *exchange,
+			  const struct header_names *names, const char *service,
+			  uint32_t depth)
+{
+	size_t n = http_exchange_header_count(exchange);
+	struct http_text name, value;
+	char number[16];
+
+	headers->list = g_ptr_array_new_with_free_func(header_free);
+	for (size_t i = 0; i < n; i++) {
+		http_exchange_header_at(exchange, i, &name, &value);
+		if (!is_hop_by_hop(name) && !is_set_by_node(name, names))
+			g_ptr_array_add(headers->list,
+					header_create(name, value));
+	}
+	if (names->caller_service && *service)
+		add(headers, names->caller_service, service);
+	if (names->outcome) {
+		g_snprintf(number, sizeof(number), "%u", depth + 1);
+		add(headers, "x-fescue-depth", number);
+	}
+}
+
+void call_headers_clear(struct call_headers *headers)
+{
+	if (headers->list)
+		g_ptr_array_free(headers->list, TRUE);
+	headers->list = NULL;
+}
+
+static char *text_dup(struct http_text text)
+{
+	return g_strndup(text.bytes ? text.bytes : "", text.size);
+}
+
+Fescue__Packet *call_request_create(const struct http_exchange *exchange,
+				    const struct call_headers *headers)
+{
+	Fescue__Packet *packet =
+		packet_create(FESCUE__PACKET__BODY_CALL_REQUEST);
+	Fescue__CallRequest *request = packet->call_request;
+	struct http_text body = http_exchange_body(exchange);
+
+	request->method = text_dup(http_exchange_method(exchange));
+	request->path = text_dup(http_exchange_path(exchange));
+	request->host = text_dup(http_exchange_host(exchange));
+	packet_set_bytes(&request->body, body.bytes, body.size);
+	request->headers = g_new(Fescue__Header *, headers->list->len + 1);
+	for (guint i = 0; i < headers->list->len; i++) {
+		const Fescue__Header *h = g_ptr_array_index(headers->list, i);
+		struct http_text name = { h->name, strlen(h->name) };
+		struct http_text value = { h->value, strlen(h->value) };
+
+		request->headers[request->n_headers++] =
+			header_create(name, value);
+	}
+	return packet;
+}
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,17 +1,29 @@
 #include "caller.h"
 
-#include "backend_server.h"
+#include "call_reply.h"
+#include "call_request.h"
+#include "events.h"
 #include "fescue/error.h"
 #include "log.h"
 
 #include <inttypes.h>
 #include <string.h>
 
-#define ATTEMPTS_MAX (RULES_RETRIES_MAX + 1)
+#define TRIED_MAX (RULES_RETRIES_MAX + 1 + RETRY_MOVES_MAX + 1)
 #define DEPTH_MAX 16
-#define KEY_MAX_BYTES 128
 #define EVIDENCE_IDLE_MS 600000
-#define DEADLINE_GRACE_MS 75 /* for the target's own expiry to answer */
+/* For the target's own expiry to answer before the entry node does. */
+#define DEADLINE_GRACE_MS 75
+/* A host that was asked what became of a call answers within this time. */
+#define QUERY_TIMEOUT_MS 1500
+/* Ids of two incarnations of a node must differ. */
+#define ID_INCARNATION_SHIFT 20
+
+enum attempt_state {
+	ATTEMPT_NONE,
+	ATTEMPT_SENT,
+	ATTEMPT_ASKED, /* the link broke; its host was asked about it */
+};
 
 /* One call of a caller, from its request to its answer. */
 struct call {
@@ -19,34 +31,44 @@
 	struct http_exchange *exchange;
 	struct snapshot *snapshot; /* the version it entered under */
 	struct route_handle route;
+	uint32_t part; /* of the route, which serves it */
 	struct contract contract;
-	char *method;
-	char *path;
-	char *key; /* idempotency key or "" */
-	GPtrArray *headers; /* Fescue__Header, passed on */
-	const char *body;
-	size_t body_size;
+	struct call_headers headers; /* passed on */
+	uint64_t entered_ms;
 	uint64_t deadline_ms;
 	uint64_t entered_us;
-	uint32_t attempts;
-	uint64_t tried[ATTEMPTS_MAX];
+	uint32_t arrivals; /* attempts that backend servers have seen */
+	uint32_t moves; /* attempts that none has seen */
+	uint32_t tried_count;
+	uint64_t tried[TRIED_MAX];
+	enum attempt_state state;
 	uint64_t attempt_id; /* 0 between attempts */
 	uint64_t attempt_us;
+	uint64_t asked_ms;
+	uint32_t retry_after_ms; /* the least that a refusing host named */
+	Fescue__CallAnswer *fallback; /* a failure that a repeat may better */
 	uv_timer_t timer;
 };
 
 struct caller_table {
-	struct node *node;
+	const struct task_links *links;
+	struct caller_settings settings;
 	struct router *router;
+	GRand *random;
 	struct retry_budget budget;
 	uint64_t next_id;
 	GHashTable *attempts; /* id -> struct call */
 	size_t calls;
 };
 
-static void header_free(gpointer p)
+static uint64_t now_ms(const struct caller_table *t)
+{
+	return task_now_ms(t->links);
+}
+
+static void count(struct caller_table *t, enum counter counter)
 {
-	fescue__header__free_unpacked(p, NULL);
+	t->links->counters->values[counter]++;
 }
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -54,10 +76,9 @@
 	struct call *c = handle->data;
 
 	snapshot_unref(c->snapshot);
-	g_ptr_array_free(c->headers, TRUE);
-	g_free(c->method);
-	g_free(c->path);
-	g_free(c->key);
+	call_headers_clear(&c->headers);
+	if (c->fallback)
+		fescue__call_answer__free_unpacked(c->fallback, NULL);
 	g_free(c);
 }
 
@@ -69,6 +90,11 @@
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
+static uint64_t last_tried(const struct call *c)
+{
+	return c->tried[c->tried_count - 1];
+}
+
 static void end_attempt(struct call *c, enum router_result result,
 			const struct router_load *load)
 {
@@ -78,14 +104,14 @@
 		return;
 	g_hash_table_remove(t->attempts, &c->attempt_id);
 	c->attempt_id = 0;
-	router_finished(t->router, c->tried[c->attempts - 1], result,
-			monotonic_clock_us() - c->attempt_us, load,
-			node_now_ms(t->node));
+	c->state = ATTEMPT_NONE;
+	router_finished(t->router, last_tried(c), result,
+			monotonic_clock_us() - c->attempt_us, load, now_ms(t));
 }
 
 static void count_outcome(struct call *c, enum call_outcome outcome)
 {
-	struct counters *counters = &c->callers->node->counters;
+	struct counters *counters = c->callers->links->counters;
 
 	switch (outcome) {
 	case CALL_RAN:
@@ -102,108 +128,71 @@
 			 monotonic_clock_us() - c->entered_us);
 }
 
-/* Answer a request that a rule or the node's state refuses. */
-static void reply_failure(struct http_exchange *exchange, int status,
-			  enum call_outcome outcome, const char *reason)
+/* Callers come back on another connection when the node is about to end. */
+static void review_connection(struct caller_table *t,
+			      struct http_exchange *exchange)
 {
-	struct http_header headers[] = {
-		{ "x-fescue-outcome", call_outcome_name(outcome) },
-		{ "content-type", "text/plain" },
-	};
-	char *body =
-		g_strdup_printf("%s: %s\n", call_outcome_name(outcome), reason);
-
-	http_exchange_reply(exchange, status, headers, G_N_ELEMENTS(headers),
-			    body, strlen(body));
-	g_free(body);
-}
-
-static void finish_failed(struct call *c, enum call_outcome outcome,
-			  const char *reason)
-{
-	count_outcome(c, outcome);
-	reply_failure(c->exchange, outcome == CALL_NOT_RUN ? 503 : 504, outcome,
-		      reason);
-	call_end(c);
+	if (t->settings.is_stopping(t->settings.data))
+		http_exchange_close_after(exchange);
 }
 
 static void finish_ran(struct call *c, const Fescue__CallAnswer *answer)
 {
-	struct http_header *headers =
-		g_new(struct http_header, answer->n_headers + 2);
-	size_t n = 0;
-	char version[24];
+	struct caller_table *t = c->callers;
 
-	for (size_t i = 0; i < answer->n_headers; i++) {
-		if (!strcmp(answer->headers[i]->name, "x-fescue-outcome"))
-			continue;
-		headers[n].name = answer->headers[i]->name;
-		headers[n++].value = answer->headers[i]->value;
-	}
-	headers[n].name = "x-fescue-outcome";
-	headers[n++].value = call_outcome_name(CALL_RAN);
-	g_snprintf(version, sizeof(version), "%" PRIu64,
-		   snapshot_version(c->snapshot));
-	headers[n].name = "x-fescue-version";
-	headers[n++].value = version;
 	count_outcome(c, CALL_RAN);
-	http_exchange_reply(c->exchange, (int)answer->status, headers, n,
-			    answer->body.data, answer->body.len);
-	g_free(headers);
+	review_connection(t, c->exchange);
+	call_reply_answer(c->exchange, t->links->headers, answer,
+			  snapshot_version(c->snapshot));
 	call_end(c);
 }
 
-static void add_limits(const struct call *c, Fescue__CallRequest *request)
+static void finish_failed(struct call *c, enum call_outcome outcome, int status,
+			  const char *reason)
 {
-	struct service_handle service =
-		snapshot_route_service(c->snapshot, c->route);
-	const struct service_rule *rule =
-		snapshot_service(c->snapshot, service);
+	struct caller_table *t = c->callers;
 
-	packet_set_string(&request->service, rule->name);
-	request->queue = rule->queue;
-	request->reserve_percent = rule->reserve_percent;
+	if (c->fallback) {
+		finish_ran(c, c->fallback);
+		return;
+	}
+	count_outcome(c, outcome);
+	review_connection(t, c->exchange);
+	call_reply_failure(c->exchange, t->links->headers, status, outcome,
+			   c->retry_after_ms, reason);
+	call_end(c);
 }
 
-static Fescue__Header *header_create(struct http_text name,
-				     struct http_text value)
+/* 503 promises that the call did not run; 502 and 504 promise nothing. */
+static int failure_status(enum call_outcome outcome)
 {
-	Fescue__Header *header = g_new(Fescue__Header, 1);
-
-	fescue__header__init(header);
-	header->name = g_ascii_strdown(name.bytes, (gssize)name.size);
-	header->value = g_strndup(value.bytes, value.size);
-	return header;
+	return outcome == CALL_NOT_RUN ? 503 : 502;
 }
 
-static void add_headers(const struct call *c, Fescue__CallRequest *request)
+static uint32_t remaining_ms(const struct call *c, uint64_t until_ms)
 {
-	request->headers = g_new(Fescue__Header *, c->headers->len + 1);
-	for (guint i = 0; i < c->headers->len; i++) {
-		const Fescue__Header *h = g_ptr_array_index(c->headers, i);
-		struct http_text name = { h->name, strlen(h->name) };
-		struct http_text value = { h->value, strlen(h->value) };
+	uint64_t now = now_ms(c->callers);
 
-		request->headers[request->n_headers++] =
-			header_create(name, value);
-	}
+	return until_ms > now ? (uint32_t)(until_ms - now) : 0;
 }
 
 static Fescue__Packet *create_request(const struct call *c)
 {
-	Fescue__Packet *packet =
-		packet_create(FESCUE__PACKET__BODY_CALL_REQUEST);
+	struct service_handle service;
+	Fescue__Packet *packet = call_request_create(c->exchange, &c->headers);
 	Fescue__CallRequest *request = packet->call_request;
+	const struct service_rule *rule;
 
+	snapshot_route_service(c->snapshot, c->route, c->part, &service);
+	rule = snapshot_service(c->snapshot, service);
 	request->call_id = c->attempt_id;
-	add_limits(c, request);
-	packet_set_string(&request->method, c->method);
-	packet_set_string(&request->path, c->path);
-	packet_set_string(&request->key, c->key);
-	add_headers(c, request);
-	packet_set_bytes(&request->body, c->body, c->body_size);
-	request->deadline_ms =
-		(uint32_t)(c->deadline_ms - node_now_ms(c->callers->node));
+	packet_set_string(&request->service, rule->name);
+	request->queue = rule->queue;
+	request->reserve_percent = rule->reserve_percent;
+	request->deadline_ms = remaining_ms(c, c->deadline_ms);
+	request->latency_ms =
+		remaining_ms(c, c->entered_ms + c->contract.latency_ms);
+	request->rank = c->contract.rank;
 	request->call_class = c->contract.call_class;
 	request->idempotent = c->contract.idempotent;
 	return packet;
@@ -213,32 +202,28 @@
 static void send_attempt(struct call *c, uint64_t host)
 {
 	struct caller_table *t = c->callers;
-	Fescue__Packet *packet;
 
-	c->tried[c->attempts++] = host;
+	c->tried[c->tried_count++] = host;
 	c->attempt_id = ++t->next_id;
 	c->attempt_us = monotonic_clock_us();
+	c->state = ATTEMPT_SENT;
 	g_hash_table_insert(t->attempts, &c->attempt_id, c);
-	router_started(t->router, host, node_now_ms(t->node));
-	t->node->counters.values[COUNTER_attempts]++;
-	packet = create_request(c);
-	if (host == t->node->own)
-		backend_server_call(t->node->backend, host,
-				    packet->call_request);
-	else
-		transport_send(t->node->transport, host, PACKET_CALL, packet);
-	packet_destroy(packet);
+	router_started(t->router, host, now_ms(t));
+	count(t, COUNTER_attempts);
+	task_send(t->links, host, create_request(c));
 }
 
 static int choose_host(struct call *c, uint64_t *host)
 {
-	struct node *node = c->callers->node;
-	struct service_handle service =
-		snapshot_route_service(c->snapshot, c->route);
-
-	return router_choose(c->callers->router, c->snapshot, service,
-			     node->settings.failure_domain, c->tried,
-			     c->attempts, node_now_ms(node), host);
+	struct caller_table *t = c->callers;
+	struct service_handle service;
+
+	if (c->tried_count == TRIED_MAX ||
+	    snapshot_route_service(c->snapshot, c->route, c->part, &service))
+		return FESCUE_ENOTFOUND;
+	return router_choose(t->router, c->snapshot, service,
+			     t->settings.failure_domain, c->tried,
+			     c->tried_count, now_ms(t), host);
 }
 
 static void attempt(struct call *c, enum call_outcome outcome,
@@ -247,73 +232,119 @@
 	uint64_t host;
 
 	if (choose_host(c, &host))
-		finish_failed(c, outcome, reason);
+		finish_failed(c, outcome, failure_status(outcome), reason);
 	else
 		send_attempt(c, host);
 }
 
-static void attempt_failed(struct call *c, enum call_outcome outcome, int final,
-			   const char *reason)
+static int may_repeat(struct call *c, const struct retry_question *ended)
 {
 	struct caller_table *t = c->callers;
-	uint64_t now_ms = node_now_ms(t->node);
-	struct retry_question question = {
-		.contract = &c->contract,
-		.attempts = c->attempts,
-		.outcome = outcome,
-		.final = final,
-		.remaining_ms =
-			c->deadline_ms > now_ms ? c->deadline_ms - now_ms : 0,
-	};
+	struct retry_question question = *ended;
 
+	if (ended->arrived)
+		c->arrivals++;
+	else
+		c->moves++;
+	question.contract = &c->contract;
+	question.attempts = c->arrivals;
+	question.moves = c->moves;
+	question.remaining_ms = remaining_ms(c, c->deadline_ms);
 	if (retry_allow(&t->budget, &question)) {
-		t->node->counters.values[COUNTER_retries]++;
-		attempt(c, outcome, reason);
-		return;
+		count(t, COUNTER_retries);
+		return 1;
 	}
-	if (outcome != CALL_RAN)
-		t->node->counters.values[COUNTER_retries_denied]++;
-	finish_failed(c, outcome, reason);
+	count(t, COUNTER_retries_denied);
+	return 0;
+}
+
+static void attempt_failed(struct call *c, const struct retry_question *ended,
+			   const char *reason)
+{
+	if (may_repeat(c, ended))
+		attempt(c, ended->outcome, reason);
+	else
+		finish_failed(c, ended->outcome, failure_status(ended->outcome),
+			      reason);
+}
+
+static void send_cancel(struct caller_table *t, uint64_t host, uint64_t id)
+{
+	Fescue__Packet *packet =
+		packet_create(FESCUE__PACKET__BODY_CALL_CANCEL);
+
+	packet->call_cancel->call_id = id;
+	task_send(t->links, host, packet);
 }
 
 static void on_deadline(uv_timer_t *timer)
 {
 	struct call *c = timer->data;
-	struct node *node = c->callers->node;
-	Fescue__Packet *packet;
-	uint64_t host = c->tried[c->attempts - 1];
-
-	if (c->attempt_id && host != node->own) {
-		packet = packet_create(FESCUE__PACKET__BODY_CALL_CANCEL);
-		packet->call_cancel->call_id = c->attempt_id;
-		transport_send(node->transport, host, PACKET_CALL, packet);
-		packet_destroy(packet);
-	}
+	uint64_t id = c->attempt_id;
+
+	if (id)
+		send_cancel(c->callers, last_tried(c), id);
+	/* The cancel may have been answered at once by this very node. */
+	if (!c->exchange)
+		return;
 	end_attempt(c, ROUTER_FAILED, NULL);
-	finish_failed(c, CALL_UNKNOWN, "no answer before the deadline");
+	finish_failed(c, CALL_UNKNOWN, 504, "no answer before the deadline");
 }
 
 /* The caller went away: stop what can be stopped without harm. */
 static void on_caller_gone(void *data)
 {
 	struct call *c = data;
-	struct node *node = c->callers->node;
-	uint64_t host = c->tried[c->attempts - 1], id = c->attempt_id;
-	Fescue__Packet *packet;
+	struct caller_table *t = c->callers;
+	uint64_t host = last_tried(c), id = c->attempt_id;
 
-	node->counters.values[COUNTER_calls_canceled]++;
+	count(t, COUNTER_calls_canceled);
 	end_attempt(c, ROUTER_CANCELED, NULL);
 	call_end(c);
-	if (!id)
-		return;
-	if (host == node->own) {
-		backend_server_cancel(node->backend, host, id);
-		return;
+	if (id)
+		send_cancel(t, host, id);
+}
+
+/* A failure of the server itself; failures below it are its callees'. */
+static int is_server_error(const Fescue__CallAnswer *answer)
+{
+	return answer->status == 500;
+}
+
+static Fescue__CallAnswer *answer_copy(const Fescue__CallAnswer *answer)
+{
+	size_t size = fescue__call_answer__get_packed_size(answer);
+	uint8_t *bytes = g_malloc(size);
+	Fescue__CallAnswer *copy;
+
+	fescue__call_answer__pack(answer, bytes);
+	copy = fescue__call_answer__unpack(NULL, size, bytes);
+	g_free(bytes);
+	return copy;
+}
+
+static void take_run(struct call *c, const Fescue__CallAnswer *answer)
+{
+	struct retry_question ended = { .outcome = CALL_RAN,
+					.arrived = 1,
+					.server_error =
+						is_server_error(answer) };
+
+	if (answer->body_bytes != answer->body.len) {
+		finish_failed(c, CALL_UNKNOWN, 502, "the answer is not whole");
+	} else if (ended.server_error && !c->fallback &&
+		   may_repeat(c, &ended)) {
+		c->fallback = answer_copy(answer);
+		attempt(c, CALL_RAN, "");
+	} else {
+		finish_ran(c, answer);
 	}
-	packet = packet_create(FESCUE__PACKET__BODY_CALL_CANCEL);
-	packet->call_cancel->call_id = id;
-	transport_send(node->transport, host, PACKET_CALL, packet);
-	packet_destroy(packet);
+}
+
+static void note_retry_after(struct call *c, uint32_t ms)
+{
+	if (ms && (!c->retry_after_ms || ms < c->retry_after_ms))
+		c->retry_after_ms = ms;
 }
 
 void caller_table_answer(struct caller_table *t, uint64_t from,
@@ -322,202 +353,226 @@
 	struct call *c = g_hash_table_lookup(t->attempts, &answer->call_id);
 	struct router_load load = { answer->in_use, answer->queued,
 				    answer->slots };
+	struct retry_question ended = { .arrived = answer->arrived,
+					.final = answer->final };
 
 	/* A late answer of an earlier attempt, or one that is not ours. */
-	if (!c || c->tried[c->attempts - 1] != from)
+	if (!c || last_tried(c) != from)
 		return;
 	switch (answer->outcome) {
 	case FESCUE__OUTCOME__RAN:
-		end_attempt(c, ROUTER_ANSWERED, &load);
-		if (answer->body_bytes == answer->body.len)
-			finish_ran(c, answer);
-		else
-			finish_failed(c, CALL_UNKNOWN,
-				      "the answer is not whole");
+		end_attempt(c,
+			    is_server_error(answer) ? ROUTER_FAILED :
+						      ROUTER_ANSWERED,
+			    &load);
+		take_run(c, answer);
 		break;
 	case FESCUE__OUTCOME__NOT_RUN:
-		/* A final refusal is the request's or the store's fault. */
+		/* A final refusal is the request's fault, not the host's. */
 		end_attempt(c, ROUTER_REFUSED, answer->final ? NULL : &load);
-		attempt_failed(c, CALL_NOT_RUN, answer->final, answer->reason);
+		note_retry_after(c, answer->retry_after_ms);
+		ended.outcome = CALL_NOT_RUN;
+		attempt_failed(c, &ended, answer->reason);
 		break;
 	default:
 		end_attempt(c, ROUTER_FAILED, &load);
-		attempt_failed(c, CALL_UNKNOWN, answer->final, answer->reason);
+		ended.outcome = CALL_UNKNOWN;
+		attempt_failed(c, &ended, answer->reason);
 		break;
 	}
 }
 
-void caller_table_peer_gone(struct caller_table *t, uint64_t peer,
-			    int connected)
+void caller_table_running(struct caller_table *t, uint64_t from,
+			  uint64_t call_id)
+{
+	struct call *c = g_hash_table_lookup(t->attempts, &call_id);
+
+	if (c && last_tried(c) == from && c->state == ATTEMPT_ASKED)
+		c->state = ATTEMPT_SENT;
+}
+
+/* The host cannot be asked any more: what became of the call is not known. */
+static void lose_attempt(struct call *c, int sent)
+{
+	struct retry_question ended = { .outcome = sent ? CALL_UNKNOWN :
+							  CALL_NOT_RUN,
+					.arrived = sent };
+
+	end_attempt(c, ROUTER_UNREACHABLE, NULL);
+	attempt_failed(c, &ended,
+		       sent ? "the host broke off" :
+			      "no connection to the host");
+}
+
+static void ask_host(struct call *c)
+{
+	struct caller_table *t = c->callers;
+	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_CALL_QUERY);
+
+	c->state = ATTEMPT_ASKED;
+	c->asked_ms = now_ms(t);
+	count(t, COUNTER_call_queries);
+	packet->call_query->call_id = c->attempt_id;
+	task_send(t->links, last_tried(c), packet);
+}
+
+static GArray *collect_attempts(const struct caller_table *t, uint64_t peer)
 {
-	GPtrArray *gone = g_ptr_array_new();
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	GHashTableIter iter;
-	gpointer value;
+	gpointer key, value;
 
 	g_hash_table_iter_init(&iter, t->attempts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct call *c = value;
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		if (!peer || last_tried(value) == peer)
+			g_array_append_vals(ids, key, 1);
+	return ids;
+}
 
-		if (c->tried[c->attempts - 1] == peer)
-			g_ptr_array_add(gone, c);
-	}
-	for (guint i = 0; i < gone->len; i++) {
-		struct call *c = g_ptr_array_index(gone, i);
+void caller_table_peer_gone(struct caller_table *t, uint64_t peer,
+			    int connected)
+{
+	GArray *ids = collect_attempts(t, peer);
+
+	for (guint i = 0; i < ids->len; i++) {
+		uint64_t id = g_array_index(ids, uint64_t, i);
+		struct call *c = g_hash_table_lookup(t->attempts, &id);
 
-		end_attempt(c, ROUTER_FAILED, NULL);
-		attempt_failed(c, connected ? CALL_UNKNOWN : CALL_NOT_RUN, 0,
-			       connected ? "the host broke off" :
-					   "no connection to the host");
+		if (!c)
+			continue;
+		if (connected)
+			ask_host(c);
+		else
+			lose_attempt(c, c->state == ATTEMPT_ASKED);
 	}
-	g_ptr_array_free(gone, TRUE);
+	g_array_free(ids, TRUE);
 }
 
-static int header_is_ours(struct http_text name)
+static void expire_queries(struct caller_table *t)
 {
-	static const char *const names[] = {
-		"connection", "keep-alive",	      "content-length",
-		"host",	      "transfer-encoding",    "upgrade",
-		"expect",     "x-fescue-deadline-ms", "x-fescue-depth"
-	};
+	GArray *ids = collect_attempts(t, 0);
 
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
-		if (name.size == strlen(names[i]) &&
-		    !g_ascii_strncasecmp(name.bytes, names[i], name.size))
-			return 1;
-	return 0;
+	for (guint i = 0; i < ids->len; i++) {
+		uint64_t id = g_array_index(ids, uint64_t, i);
+		struct call *c = g_hash_table_lookup(t->attempts, &id);
+
+		if (c && c->state == ATTEMPT_ASKED &&
+		    now_ms(t) >= c->asked_ms + QUERY_TIMEOUT_MS)
+			lose_attempt(c, 1);
+	}
+	g_array_free(ids, TRUE);
 }
 
-static void copy_headers(struct call *c, uint32_t depth)
+/*
+ * The part of the route that serves the call, drawn by weight. A part without
+ * room is not relieved by the others: the operators set the shares.
+ */
+static uint32_t draw_part(struct caller_table *t, const struct route_rule *rule)
 {
-	size_t n = http_exchange_header_count(c->exchange);
-	char number[16];
-	struct http_text name, value;
+	uint32_t total = 0, drawn;
 
-	c->headers = g_ptr_array_new_with_free_func(header_free);
-	for (size_t i = 0; i < n; i++) {
-		http_exchange_header_at(c->exchange, i, &name, &value);
-		if (!header_is_ours(name))
-			g_ptr_array_add(c->headers, header_create(name, value));
+	if (rule->part_count == 1)
+		return 0;
+	for (uint32_t i = 0; i < rule->part_count; i++)
+		total += rule->parts[i].weight;
+	drawn = (uint32_t)g_rand_int_range(t->random, 0, (gint32)total);
+	for (uint32_t i = 0; i < rule->part_count; i++) {
+		if (drawn < rule->parts[i].weight)
+			return i;
+		drawn -= rule->parts[i].weight;
 	}
-	g_snprintf(number, sizeof(number), "%u", depth + 1);
-	name.bytes = "x-fescue-depth";
-	name.size = strlen(name.bytes);
-	value.bytes = number;
-	value.size = strlen(number);
-	g_ptr_array_add(c->headers, header_create(name, value));
+	return 0;
 }
 
 static struct call *call_create(struct caller_table *t,
 				struct http_exchange *exchange,
+				struct snapshot *snapshot,
 				struct route_handle route, uint32_t depth)
 {
 	struct call *c = g_new0(struct call, 1);
-	struct node *node = t->node;
-	struct http_text method = http_exchange_method(exchange);
-	struct http_text path = http_exchange_path(exchange);
-	struct http_text key =
-		http_exchange_header(exchange, "idempotency-key");
-	struct http_text body = http_exchange_body(exchange);
-	uint32_t deadline;
+	const struct route_rule *rule = snapshot_route(snapshot, route);
+	uint32_t wait_ms;
 
 	c->callers = t;
 	c->exchange = exchange;
-	c->snapshot = snapshot_ref(node->snapshot);
+	c->snapshot = snapshot_ref(snapshot);
 	c->route = route;
-	c->contract = snapshot_route(c->snapshot, route)->contract;
-	c->method = g_strndup(method.bytes, method.size);
-	c->path = g_strndup(path.bytes, path.size);
-	c->key = g_strndup(key.bytes ? key.bytes : "", key.size);
-	c->body = body.bytes;
-	c->body_size = body.size;
-	copy_headers(c, depth);
-	deadline = MIN(http_exchange_header_number(exchange,
-						   "x-fescue-deadline-ms",
-						   c->contract.deadline_ms),
-		       c->contract.deadline_ms);
-	c->deadline_ms = node_now_ms(node) + deadline;
+	c->part = draw_part(t, rule);
+	c->contract = rule->contract;
+	call_headers_collect(&c->headers, exchange, t->links->headers,
+			     t->settings.service, depth);
+	wait_ms = http_exchange_header_number(
+		exchange, t->links->headers->deadline, c->contract.deadline_ms);
+	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
+	c->entered_ms = now_ms(t);
+	c->deadline_ms = c->entered_ms + wait_ms;
 	c->entered_us = monotonic_clock_us();
-	uv_timer_init(node->loop, &c->timer);
+	uv_timer_init(t->links->loop, &c->timer);
 	c->timer.data = c;
-	uv_timer_start(&c->timer, on_deadline, deadline + DEADLINE_GRACE_MS, 0);
+	uv_timer_start(&c->timer, on_deadline, wait_ms + DEADLINE_GRACE_MS, 0);
 	t->calls++;
 	return c;
 }
 
+static void refuse(struct caller_table *t, struct http_exchange *exchange,
+		   int status, const char *reason)
+{
+	count(t, COUNTER_calls_not_run);
+	review_connection(t, exchange);
+	call_reply_failure(exchange, t->links->headers, status, CALL_NOT_RUN, 0,
+			   reason);
+}
+
 /* Look up the route; answers the exchange itself when there is none. */
-static int find_route(struct caller_table *t, struct http_exchange *exchange,
+static int find_route(struct caller_table *t, struct snapshot *snapshot,
+		      struct http_exchange *exchange,
 		      struct route_handle *route)
 {
 	struct http_text method = http_exchange_method(exchange);
 	struct http_text host = http_exchange_host(exchange);
 	struct http_text path = http_exchange_path(exchange);
 	const struct route_rule *rule;
-	enum route_lookup found = snapshot_find_route(
-		t->node->snapshot, method.bytes, method.size, host.bytes,
-		host.size, path.bytes, path.size, route, &rule);
+	enum route_lookup found = snapshot_find_route(snapshot, method.bytes,
+						      method.size, host.bytes,
+						      host.size, path.bytes,
+						      path.size, route, &rule);
 
 	switch (found) {
 	case ROUTE_FOUND:
 		return FESCUE_OK;
 	case ROUTE_WITHDRAWN:
-		t->node->counters.values[COUNTER_route_withdrawn]++;
-		reply_failure(exchange, 503, CALL_NOT_RUN,
-			      "the service has no backend server now");
+		count(t, COUNTER_route_withdrawn);
+		refuse(t, exchange, 503,
+		       "the service has no backend server now");
 		break;
 	case ROUTE_UNKNOWN:
-		t->node->counters.values[COUNTER_no_route]++;
-		reply_failure(exchange, 404, CALL_NOT_RUN,
-			      "no rule matches; add a route line");
+		count(t, COUNTER_no_route);
+		refuse(t, exchange, 404, "no rule matches; add a route line");
 		break;
 	}
 	return FESCUE_ENOTFOUND;
 }
 
-/* Keys stand in records of the store, one a line. */
-static int key_is_good(const struct http_exchange *exchange)
-{
-	struct http_text key =
-		http_exchange_header(exchange, "idempotency-key");
-
-	if (!key.bytes)
-		return 1;
-	if (!key.size || key.size > KEY_MAX_BYTES)
-		return 0;
-	for (size_t i = 0; i < key.size; i++)
-		if (!g_ascii_isgraph(key.bytes[i]))
-			return 0;
-	return 1;
-}
-
 void caller_table_request(void *data, struct http_exchange *exchange)
 {
-	struct node *node = data;
-	struct caller_table *t = node->callers;
+	struct caller_table *t = data;
 	uint32_t depth =
 		http_exchange_header_number(exchange, "x-fescue-depth", 0);
+	const char *why = "";
+	struct snapshot *snapshot =
+		t->settings.snapshot(t->settings.data, &why);
 	struct route_handle route;
 	struct call *c;
-	const char *why;
-
-	node->counters.values[COUNTER_calls_received]++;
-	if (!key_is_good(exchange)) {
-		node->counters.values[COUNTER_calls_not_run]++;
-		reply_failure(exchange, 400, CALL_NOT_RUN,
-			      "idempotency-key must be 1 to 128 printable "
-			      "characters without blanks");
-		return;
-	}
-	if (!node_is_ready(node, &why) || depth >= DEPTH_MAX) {
-		node->counters.values[COUNTER_calls_not_run]++;
-		reply_failure(exchange, 503, CALL_NOT_RUN,
-			      depth >= DEPTH_MAX ? "calls nest too deep" : why);
+
+	count(t, COUNTER_calls_received);
+	if (!snapshot || depth >= DEPTH_MAX) {
+		refuse(t, exchange, 503,
+		       depth >= DEPTH_MAX ? "calls nest too deep" : why);
 		return;
 	}
-	if (find_route(t, exchange, &route)) {
-		node->counters.values[COUNTER_calls_not_run]++;
+	if (find_route(t, snapshot, exchange, &route))
 		return;
-	}
-	c = call_create(t, exchange, route, depth);
+	c = call_create(t, exchange, snapshot, route, depth);
 	http_exchange_on_close(exchange, on_caller_gone, c);
 	retry_budget_earn(&t->budget);
 	attempt(c, CALL_NOT_RUN, "every backend server is busy or excluded");
@@ -525,18 +580,23 @@
 
 void caller_table_tick(struct caller_table *t)
 {
-	router_expire(t->router, node_now_ms(t->node), EVIDENCE_IDLE_MS);
+	expire_queries(t);
+	router_expire(t->router, now_ms(t), EVIDENCE_IDLE_MS);
 }
 
-struct caller_table *caller_table_create(struct node *node, uint32_t seed)
+struct caller_table *caller_table_create(const struct task_links *links,
+					 const struct caller_settings *settings)
 {
 	struct caller_table *t = g_new0(struct caller_table, 1);
-	struct router_settings settings = router_defaults;
+	struct router_settings router = router_defaults;
 
-	settings.policy = (enum router_policy)node->settings.router_policy;
-	t->node = node;
-	t->router = router_create(&settings, seed);
+	t->links = links;
+	t->settings = *settings;
+	router.policy = settings->router_policy;
+	t->router = router_create(&router, settings->seed);
+	t->random = g_rand_new_with_seed(settings->seed + 1);
 	t->budget.tokens = RETRY_TOKENS_MAX;
+	t->next_id = wall_clock_us() << ID_INCARNATION_SHIFT >> 1;
 	t->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return t;
 }
@@ -547,6 +607,7 @@
 		return;
 	g_hash_table_destroy(t->attempts);
 	router_destroy(t->router);
+	g_rand_free(t->random);
 	g_free(t);
 }
 
--- a/src/caller.h
+++ b/src/caller.h
@@ -5,9 +5,30 @@
 #ifndef FESCUE_CALLER_H
 #define FESCUE_CALLER_H
 
-#include "node.h"
-
-struct caller_table *caller_table_create(struct node *node, uint32_t seed);
+#include "fescue/retry.h"
+#include "fescue/router.h"
+#include "fescue/snapshot.h"
+#include "http_server.h"
+#include "task_links.h"
+
+struct caller_table;
+
+struct caller_settings {
+	enum router_policy router_policy;
+	const char *failure_domain; /* of this host */
+	const char *service; /* of the backend server beside it; "": not told */
+	uint32_t seed;
+	/* The configuration in force, or NULL and why there is none. */
+	struct snapshot *(*snapshot)(void *data, const char **why);
+	/* The node is stopping: callers should come on new connections. */
+	int (*is_stopping)(void *data);
+	void *data;
+};
+
+/* links, and the texts in settings, must outlive the table. */
+struct caller_table *
+caller_table_create(const struct task_links *links,
+		    const struct caller_settings *settings);
 void caller_table_destroy(struct caller_table *callers);
 
 /* Handler of the caller port. */
@@ -17,6 +38,10 @@
 void caller_table_answer(struct caller_table *callers, uint64_t from,
 			 const Fescue__CallAnswer *answer);
 
+/* The host that was asked about an attempt is still at work on it. */
+void caller_table_running(struct caller_table *callers, uint64_t from,
+			  uint64_t call_id);
+
 /*
  * The link with a peer ended. connected 0 means that nothing sent on it
  * arrived.
--- a/src/crash_report.c
+++ b/src/crash_report.c
@@ -1,5 +1,6 @@
 #include "crash_report.h"
 
+#include "events.h"
 #include "fescue/error.h"
 #include "log.h"
 
@@ -25,7 +26,9 @@
 };
 
 struct crash_reports {
-	struct node *node;
+	const struct task_links *links;
+	const struct membership *membership;
+	struct quarantine *quarantine;
 	GHashTable *pending; /* id -> struct report */
 	uint64_t next_id;
 };
@@ -41,16 +44,15 @@
 
 static void send_to(struct report *report, uint64_t host)
 {
-	struct node *node = report->reports->node;
+	const struct task_links *links = report->reports->links;
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_QUARANTINE_REPORT);
 
 	packet->quarantine_report->report_id = report->id;
 	packet->quarantine_report->fingerprint = report->fingerprint;
-	packet->quarantine_report->host = node->own;
-	transport_send(node->transport, host, PACKET_CALL, packet);
-	packet_destroy(packet);
+	packet->quarantine_report->host = links->own;
 	report->acks_missing++;
+	task_send(links, host, packet);
 }
 
 /*
@@ -59,17 +61,17 @@
  */
 static int must_know(const struct report *report, const struct host *host)
 {
-	return host->address != report->reports->node->own &&
+	return host->address != report->reports->links->own &&
 	       host_is_up(host) &&
 	       (!host->service[0] || !strcmp(host->service, report->service));
 }
 
 static void tell_hosts(struct report *report)
 {
-	struct node *node = report->reports->node;
+	const struct membership *membership = report->reports->membership;
 
-	for (size_t i = 0; i < membership_count(node->membership); i++) {
-		const struct host *host = membership_host(node->membership, i);
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const struct host *host = membership_host(membership, i);
 
 		if (must_know(report, host))
 			send_to(report, host->address);
@@ -79,13 +81,13 @@
 /* No connection to the backend server: the run took it down. */
 static void note_crash(struct report *report)
 {
-	struct node *node = report->reports->node;
-	uint64_t now_ms = node_now_ms(node);
-	uint32_t crashes = quarantine_report(node->quarantine,
-					     report->fingerprint, node->own,
-					     report->id, now_ms);
+	struct crash_reports *reports = report->reports;
+	uint64_t now_ms = task_now_ms(reports->links);
+	uint32_t crashes =
+		quarantine_report(reports->quarantine, report->fingerprint,
+				  reports->links->own, report->id, now_ms);
 
-	node->counters.values[COUNTER_quarantine_suspected]++;
+	reports->links->counters->values[COUNTER_quarantine_suspected]++;
 	if (crashes == QUARANTINE_CRASHES_MAX)
 		log_state("request %016" PRIx64
 			  " is refused: it crashed %u backend servers",
@@ -144,15 +146,14 @@
 static void receive_report(struct crash_reports *reports, uint64_t from,
 			   const Fescue__QuarantineReport *report)
 {
-	struct node *node = reports->node;
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_QUARANTINE_ACK);
 
-	quarantine_report(node->quarantine, report->fingerprint, report->host,
-			  report->report_id, node_now_ms(node));
+	quarantine_report(reports->quarantine, report->fingerprint,
+			  report->host, report->report_id,
+			  task_now_ms(reports->links));
 	packet->quarantine_ack->report_id = report->report_id;
-	transport_send(node->transport, from, PACKET_CALL, packet);
-	packet_destroy(packet);
+	task_send(reports->links, from, packet);
 }
 
 void crash_reports_receive(struct crash_reports *reports, uint64_t from,
@@ -172,7 +173,7 @@
 
 void crash_reports_tick(struct crash_reports *reports)
 {
-	uint64_t now_ms = node_now_ms(reports->node);
+	uint64_t now_ms = task_now_ms(reports->links);
 	GList *pending = g_hash_table_get_values(reports->pending);
 
 	for (GList *l = pending; l; l = l->next) {
@@ -184,11 +185,15 @@
 	g_list_free(pending);
 }
 
-struct crash_reports *crash_reports_create(struct node *node)
+struct crash_reports *crash_reports_create(const struct task_links *links,
+					   const struct membership *membership,
+					   struct quarantine *quarantine)
 {
 	struct crash_reports *reports = g_new0(struct crash_reports, 1);
 
-	reports->node = node;
+	reports->links = links;
+	reports->membership = membership;
+	reports->quarantine = quarantine;
 	reports->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, g_free);
 	return reports;
--- a/src/crash_report.h
+++ b/src/crash_report.h
@@ -5,13 +5,17 @@
 #ifndef FESCUE_CRASH_REPORT_H
 #define FESCUE_CRASH_REPORT_H
 
+#include "fescue/membership.h"
 #include "fescue/quarantine.h"
 #include "http_client.h"
-#include "node.h"
+#include "task_links.h"
 
 struct crash_reports;
 
-struct crash_reports *crash_reports_create(struct node *node);
+/* All three must outlive the reports. */
+struct crash_reports *crash_reports_create(const struct task_links *links,
+					   const struct membership *membership,
+					   struct quarantine *quarantine);
 void crash_reports_destroy(struct crash_reports *reports);
 
 /*
--- a/src/ctl_store.c
+++ b/src/ctl_store.c
@@ -6,8 +6,9 @@
 #include "events.h"
 #include "fescue/envelope.h"
 #include "fescue/error.h"
+#include "interface.h"
+#include "platform/store_client.h"
 #include "program.h"
-#include "store_client.h"
 #include "text_diff.h"
 
 #include <inttypes.h>
@@ -61,7 +62,8 @@
 	struct wait wait = { ctl->loop, stored };
 
 	memset(stored, 0, sizeof(*stored));
-	store_get(client, STORE_CONFIG_KEY, 0, on_result, &wait);
+	store_get(client, interface_config_key(INTERFACE_FESCUE), on_result,
+		  &wait);
 	uv_run(ctl->loop, UV_RUN_DEFAULT);
 	if (stored->error == FESCUE_ENOTFOUND)
 		stored->error = FESCUE_OK;
@@ -74,8 +76,8 @@
 	struct wait wait = { ctl->loop, stored };
 
 	memset(stored, 0, sizeof(*stored));
-	store_put(client, STORE_CONFIG_KEY, value, size, base, 0, on_result,
-		  &wait);
+	store_put(client, interface_config_key(INTERFACE_FESCUE), value, size,
+		  base, 0, on_result, &wait);
 	uv_run(ctl->loop, UV_RUN_DEFAULT);
 }
 
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -41,6 +41,9 @@
 	uint64_t pushed_version; /* this domain's tree is under way */
 	uint64_t fetch_from;
 	uint64_t fetch_started_ms;
+	uint64_t behind_peer; /* has a higher version than this host */
+	uint64_t behind_version;
+	uint64_t behind_since_ms;
 	uint64_t rejected_version;
 	struct diagnostic rejected;
 	GQueue actions; /* struct distribution_action */
@@ -301,7 +304,26 @@
 	if (d->fetch_from &&
 	    now_ms < d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		return;
-	send_fetch(d, peer, now_ms, 0, outbox);
+	if (!d->settings.fetch_delay_ms) {
+		send_fetch(d, peer, now_ms, 0, outbox);
+	} else if (!d->behind_peer) {
+		d->behind_peer = peer;
+		d->behind_version = version;
+		d->behind_since_ms = now_ms;
+	}
+}
+
+/* The own watch has had its time to show what a peer has. */
+static void review_behind(struct distribution *d, uint64_t now_ms,
+			  struct outbox *outbox)
+{
+	uint64_t peer = d->behind_peer;
+
+	if (!peer || now_ms < d->behind_since_ms + d->settings.fetch_delay_ms)
+		return;
+	d->behind_peer = 0;
+	if (d->behind_version > newest(d)->version)
+		send_fetch(d, peer, now_ms, 0, outbox);
 }
 
 static void send_config_ack(uint64_t to, uint64_t version,
@@ -489,6 +511,7 @@
 	if (d->push_due_ms && now_ms >= d->push_due_ms)
 		push_domain(d, now_ms, outbox);
 	review_staged(d, now_ms, outbox);
+	review_behind(d, now_ms, outbox);
 	if (d->fetch_from &&
 	    now_ms >= d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		d->fetch_from = 0;
--- a/src/error.c
+++ b/src/error.c
@@ -29,6 +29,9 @@
 		       "idempotent";
 	case FESCUE_ECANCELED:
 		return "canceled; nothing to do";
+	case FESCUE_EGONE:
+		return "the history asked for is gone; read the present "
+		       "state, then watch again";
 	default:
 		return "unknown error; report it with the log";
 	}
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,44 +1,71 @@
 #include "http_client.h"
 
 #include "fescue/error.h"
+#include "socket_options.h"
 
 #include <glib.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
+#include <http_parser.h>
 #include <string.h>
 
-#define IO_TIMEOUT_MS 120000
-#define IDLE_CONNECTION_MS 5000
+#define READ_BUFFER_BYTES 65536
+#define CONNECT_TIMEOUT_MS 1000 /* far above any round trip between hosts */
+#define IDLE_DEFAULT_MS 30000 /* for peers that state no Keep-Alive time */
+#define IDLE_MARGIN_MS 1000 /* the peer's clock starts before ours */
+#define HEADERS_MAX 100
 
 struct http_pool {
 	uv_loop_t *loop;
-	h2o_socketpool_t sockets;
-	h2o_http1client_ctx_t context;
-	h2o_timeout_t io_timeout;
+	struct sockaddr_in address;
 	char authority[ADDRESS_TEXT_BYTES];
-	size_t calls; /* that have not been released */
-	int released; /* by its owner; goes with the last call */
-	uv_timer_t last_handle; /* closed after the library's own timers */
+	size_t idle_max;
+	GQueue idle; /* struct http_conn, the latest used at the head */
+	size_t conns; /* not yet freed */
+	size_t calls; /* not yet freed */
+	uint64_t opened;
+	int released;
+};
+
+/* One connection; it belongs to a call, to the idle list or is closing. */
+struct http_conn {
+	struct http_pool *pool;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uv_write_t write;
+	http_parser parser;
+	struct http_call *call; /* NULL while idle or closing */
+	uint64_t idle_since_ms;
+	uint32_t idle_limit_ms;
+	int writing;
+	int used; /* carried a request before the present one */
+	int tainted; /* an answer to another request came on it */
+	int closing;
 };
 
 struct http_call {
 	struct http_pool *pool;
-	h2o_http1client_t *client;
+	struct http_conn *conn;
 	uv_timer_t timer;
-	GString *request;
-	h2o_iovec_t request_vec;
+	GString *request; /* kept until the write has ended */
+	char *echo_name;
+	char *echo;
+	uint32_t timeout_ms;
 	int method_is_head;
-	int framed; /* the answer states its length */
-	int starting; /* still inside http_pool_send() */
 	int sent;
-	int status;
+	int reused;
+	int answered;
+	int complete;
 	GArray *headers; /* struct http_header */
+	GString *name, *value; /* of the header being read */
+	int reading_value;
 	GString *body;
+	int too_big;
 	void (*done)(void *data, const struct http_result *result);
 	void *data;
 	int error;
 };
 
+static char read_buffer[READ_BUFFER_BYTES];
+
 static void header_clear(gpointer p)
 {
 	struct http_header *header = p;
@@ -51,32 +78,40 @@
 				   size_t idle_max)
 {
 	struct http_pool *pool = g_new0(struct http_pool, 1);
-	struct sockaddr_in in = address_to_sockaddr(address);
 
 	pool->loop = loop;
+	pool->address = address_to_sockaddr(address);
 	address_format(address, pool->authority);
-	h2o_socketpool_init_by_address(&pool->sockets, (struct sockaddr *)&in,
-				       sizeof(in), 0, idle_max);
-	h2o_socketpool_set_timeout(&pool->sockets, loop, IDLE_CONNECTION_MS);
-	h2o_timeout_init(loop, &pool->io_timeout, IO_TIMEOUT_MS);
-	pool->context.loop = loop;
-	uv_timer_init(loop, &pool->last_handle);
-	pool->last_handle.data = pool;
-	pool->context.io_timeout = &pool->io_timeout;
+	pool->idle_max = idle_max;
+	g_queue_init(&pool->idle);
 	return pool;
 }
 
-static void on_pool_closed(uv_handle_t *handle)
+static void pool_review(struct http_pool *pool)
+{
+	if (pool->released && !pool->calls && !pool->conns)
+		g_free(pool);
+}
+
+static void on_conn_closed(uv_handle_t *handle)
 {
-	g_free(handle->data);
+	struct http_conn *conn = handle->data;
+	struct http_pool *pool = conn->pool;
+
+	g_free(conn);
+	pool->conns--;
+	pool_review(pool);
 }
 
-/* libuv closes handles last in, first out: ours goes after the library's. */
-static void pool_dispose(struct http_pool *pool)
+static void conn_close(struct http_conn *conn)
 {
-	uv_close((uv_handle_t *)&pool->last_handle, on_pool_closed);
-	h2o_socketpool_dispose(&pool->sockets);
-	h2o_timeout_dispose(pool->loop, &pool->io_timeout);
+	if (conn->closing)
+		return;
+	conn->closing = 1;
+	if (!conn->call)
+		g_queue_remove(&conn->pool->idle, conn);
+	conn->call = NULL;
+	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
 void http_pool_release(struct http_pool *pool)
@@ -84,8 +119,14 @@
 	if (!pool)
 		return;
 	pool->released = 1;
-	if (!pool->calls)
-		pool_dispose(pool);
+	while (!g_queue_is_empty(&pool->idle))
+		conn_close(g_queue_peek_head(&pool->idle));
+	pool_review(pool);
+}
+
+uint64_t http_pool_opened(const struct http_pool *pool)
+{
+	return pool->opened;
 }
 
 static void on_timer_closed(uv_handle_t *handle)
@@ -94,11 +135,15 @@
 	struct http_pool *pool = call->pool;
 
 	g_string_free(call->request, TRUE);
+	g_string_free(call->name, TRUE);
+	g_string_free(call->value, TRUE);
 	g_string_free(call->body, TRUE);
 	g_array_free(call->headers, TRUE);
+	g_free(call->echo_name);
+	g_free(call->echo);
 	g_free(call);
-	if (!--pool->calls && pool->released)
-		pool_dispose(pool);
+	pool->calls--;
+	pool_review(pool);
 }
 
 static void call_release(struct http_call *call)
@@ -108,22 +153,14 @@
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
-static void on_deferred(uv_timer_t *timer);
-
 static void call_finish(struct http_call *call, int error)
 {
-	struct http_result result;
-
-	if (call->starting) {
-		call->client = NULL;
-		call->error = error;
-		uv_timer_start(&call->timer, on_deferred, 0, 0);
-		return;
-	}
-	result = (struct http_result){
+	struct http_result result = {
 		.error = error,
 		.sent = call->sent,
-		.status = call->status,
+		.reused = call->reused,
+		.answered = call->answered,
+		.status = call->conn ? (int)call->conn->parser.status_code : 0,
 		.headers =
 			(const struct http_header *)(void *)call->headers->data,
 		.header_count = call->headers->len,
@@ -131,132 +168,358 @@
 		.body_size = call->body->len,
 	};
 
-	call->client = NULL;
+	if (call->conn) {
+		if (error)
+			conn_close(call->conn);
+		else
+			call->conn->call = NULL;
+	}
+	call->conn = NULL;
 	if (call->done)
 		call->done(call->data, &result);
 	call_release(call);
 }
 
-/* A failure inside http_pool_send() is reported from the loop. */
-static void on_deferred(uv_timer_t *timer)
+static void call_reset_answer(struct http_call *call)
 {
-	struct http_call *call = timer->data;
-
-	call_finish(call, call->error);
+	g_array_set_size(call->headers, 0);
+	g_string_truncate(call->name, 0);
+	g_string_truncate(call->value, 0);
+	g_string_truncate(call->body, 0);
+	call->reading_value = 0;
 }
 
-static void take_input(struct http_call *call, h2o_http1client_t *client)
+static void flush_header(struct http_call *call)
 {
-	h2o_buffer_t *input = client->sock->input;
+	struct http_header header;
 
-	if (!input || !input->size)
+	if (!call->reading_value)
 		return;
-	g_string_append_len(call->body, input->bytes, (gssize)input->size);
-	h2o_buffer_consume(&client->sock->input, input->size);
+	header.name = g_ascii_strdown(call->name->str, -1);
+	header.value = g_strdup(call->value->str);
+	g_array_append_val(call->headers, header);
+	g_string_truncate(call->name, 0);
+	g_string_truncate(call->value, 0);
+	call->reading_value = 0;
 }
 
-static int on_body(h2o_http1client_t *client, const char *error)
+static struct http_call *call_of(http_parser *parser)
 {
-	struct http_call *call = client->data;
+	struct http_conn *conn = parser->data;
 
-	take_input(call, client);
-	if (!error && call->body->len > HTTP_MAX_BODY_BYTES) {
-		call_finish(call, FESCUE_ETOOBIG);
-		return -1;
-	}
-	if (!error)
-		return 0;
-	if (error != h2o_http1client_error_is_eos || !call->framed)
-		call_finish(call, FESCUE_EPARTIAL);
-	else
-		call_finish(call, FESCUE_OK);
+	return conn->call;
+}
+
+static int on_header_field(http_parser *parser, const char *at, size_t length)
+{
+	struct http_call *call = call_of(parser);
+
+	flush_header(call);
+	g_string_append_len(call->name, at, (gssize)length);
+	return call->headers->len >= HEADERS_MAX;
+}
+
+static int on_header_value(http_parser *parser, const char *at, size_t length)
+{
+	struct http_call *call = call_of(parser);
+
+	call->reading_value = 1;
+	g_string_append_len(call->value, at, (gssize)length);
 	return 0;
 }
 
-static void copy_headers(struct http_call *call, const h2o_header_t *headers,
-			 size_t count)
+static int on_headers_complete(http_parser *parser)
+{
+	struct http_call *call = call_of(parser);
+
+	flush_header(call);
+	return call->method_is_head; /* 1: no body follows */
+}
+
+static int on_body(http_parser *parser, const char *at, size_t length)
 {
-	for (size_t i = 0; i < count; i++) {
-		const h2o_header_t *h = &headers[i];
-		struct http_header copy = {
-			g_ascii_strdown(h->name->base, (gssize)h->name->len),
-			g_strndup(h->value.base, h->value.len)
-		};
+	struct http_call *call = call_of(parser);
 
-		if (!strcmp(copy.name, "content-length") ||
-		    !strcmp(copy.name, "transfer-encoding"))
-			call->framed = 1;
-		g_array_append_val(call->headers, copy);
+	if (call->body->len + length > HTTP_MAX_BODY_BYTES) {
+		call->too_big = 1;
+		return 1;
 	}
+	g_string_append_len(call->body, at, (gssize)length);
+	return 0;
 }
 
-static h2o_http1client_body_cb on_head(h2o_http1client_t *client,
-				       const char *error, int minor_version,
-				       int status, h2o_iovec_t message,
-				       struct st_h2o_header_t *headers,
-				       size_t count, int rlen)
+static const char *find_header(const struct http_header *headers, size_t count,
+			       const char *name)
 {
-	struct http_call *call = client->data;
+	for (size_t i = 0; i < count; i++)
+		if (!strcmp(headers[i].name, name))
+			return headers[i].value;
+	return NULL;
+}
+
+/* An answer that names another request arrived late or was not asked for. */
+static int answer_is_ours(const struct http_call *call)
+{
+	const char *value;
+
+	if (!call->echo)
+		return 1;
+	value = find_header(
+		(const struct http_header *)(void *)call->headers->data,
+		call->headers->len, call->echo_name);
+	return !value || !strcmp(value, call->echo);
+}
 
-	(void)minor_version;
-	(void)message;
-	(void)rlen;
-	if (error && error != h2o_http1client_error_is_eos) {
-		call_finish(call, FESCUE_EPARTIAL);
-		return NULL;
+static int on_message_complete(http_parser *parser)
+{
+	struct http_conn *conn = parser->data;
+	struct http_call *call = conn->call;
+
+	if (parser->status_code / 100 == 1) {
+		call_reset_answer(call);
+		return 0;
 	}
-	call->status = status;
-	copy_headers(call, headers, count);
-	if (error) {
-		call_finish(call, FESCUE_OK);
-		return NULL;
+	if (!answer_is_ours(call)) {
+		conn->tainted = 1;
+		call_reset_answer(call);
+		return 0;
 	}
-	return on_body;
+	call->complete = 1;
+	http_parser_pause(parser, 1);
+	return 0;
 }
 
-static h2o_http1client_head_cb on_connect(h2o_http1client_t *client,
-					  const char *error, h2o_iovec_t **vecs,
-					  size_t *count, int *method_is_head)
+static const http_parser_settings parser_settings = {
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+/* Milliseconds the peer keeps an idle connection, less a margin. */
+static uint32_t idle_limit(const struct http_call *call)
+{
+	const char *value = find_header(
+		(const struct http_header *)(void *)call->headers->data,
+		call->headers->len, "keep-alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	uint64_t ms;
+
+	if (!timeout)
+		return IDLE_DEFAULT_MS;
+	ms = g_ascii_strtoull(timeout + strlen("timeout="), NULL, 10) * 1000;
+	ms = MIN(ms, IDLE_DEFAULT_MS);
+	return ms > IDLE_MARGIN_MS ? (uint32_t)ms - IDLE_MARGIN_MS : 0;
+}
+
+static void conn_keep(struct http_conn *conn, uint32_t limit_ms)
 {
-	struct http_call *call = client->data;
+	struct http_pool *pool = conn->pool;
+
+	conn->used = 1;
+	conn->idle_since_ms = uv_now(pool->loop);
+	conn->idle_limit_ms = limit_ms;
+	g_queue_push_head(&pool->idle, conn);
+	if (g_queue_get_length(&pool->idle) > pool->idle_max)
+		conn_close(g_queue_peek_tail(&pool->idle));
+}
 
-	if (error) {
-		call_finish(call, FESCUE_EIO);
-		return NULL;
+/* The answer is whole; leftover: bytes came that belong to no request. */
+static void take_answer(struct http_conn *conn, int leftover)
+{
+	struct http_call *call = conn->call;
+	uint32_t limit_ms = idle_limit(call);
+	int keep = !leftover && !conn->tainted && !conn->writing &&
+		   !conn->pool->released && limit_ms &&
+		   http_should_keep_alive(&conn->parser);
+
+	http_parser_pause(&conn->parser, 0);
+	if (keep) {
+		conn_keep(conn, limit_ms);
+		call_finish(call, FESCUE_OK);
+		return;
 	}
-	call->sent = 1;
-	call->request_vec =
-		h2o_iovec_init(call->request->str, call->request->len);
-	*vecs = &call->request_vec;
-	*count = 1;
-	*method_is_head = call->method_is_head;
-	return on_head;
+	/* The result reads the status from the parser: close afterwards. */
+	call_finish(call, FESCUE_OK);
+	conn->call = NULL;
+	conn_close(conn);
+}
+
+static void conn_failed(struct http_conn *conn, int error)
+{
+	if (conn->call)
+		call_finish(conn->call, error);
+	else
+		conn_close(conn);
 }
 
 static void on_timeout(uv_timer_t *timer)
 {
 	struct http_call *call = timer->data;
 
-	if (call->client)
-		h2o_http1client_cancel(call->client);
-	call_finish(call, FESCUE_ETIMEOUT);
+	call_finish(call, call->error ? call->error : FESCUE_ETIMEOUT);
+}
+
+/* Report a failure from the loop, not from within http_pool_send(). */
+static void fail_later(struct http_call *call, int error)
+{
+	call->error = error;
+	uv_timer_start(&call->timer, on_timeout, 0, 0);
+}
+
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)suggested;
+	*buf = uv_buf_init(read_buffer, READ_BUFFER_BYTES);
+}
+
+static void parse_input(struct http_conn *conn, const char *bytes, size_t size)
+{
+	struct http_call *call = conn->call;
+	size_t used = 0;
+
+	if (size)
+		call->answered = 1;
+	used = http_parser_execute(&conn->parser, &parser_settings, bytes,
+				   size);
+	if (call->complete)
+		take_answer(conn, used < size);
+	else if (!size || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		call_finish(call,
+			    call->too_big ? FESCUE_ETOOBIG : FESCUE_EPARTIAL);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct http_conn *conn = stream->data;
+
+	if (conn->closing || !n)
+		return;
+	/* An idle connection carries nothing; whatever comes ends it. */
+	if (!conn->call)
+		conn_close(conn);
+	else if (n == UV_EOF)
+		parse_input(conn, buf->base, 0);
+	else if (n < 0)
+		conn_failed(conn, FESCUE_EPARTIAL);
+	else
+		parse_input(conn, buf->base, (size_t)n);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct http_conn *conn = req->data;
+
+	(void)status; /* a failed write also ends the read side */
+	conn->writing = 0;
+}
+
+static void send_request(struct http_conn *conn)
+{
+	struct http_call *call = conn->call;
+	uv_buf_t buf = uv_buf_init(call->request->str,
+				   (unsigned int)call->request->len);
+	int written;
+
+	call->sent = 1;
+	call->reused = conn->used;
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	conn->tainted = 0;
+	written = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
+	if (written < 0 && written != UV_EAGAIN) {
+		fail_later(call, FESCUE_EPARTIAL);
+		return;
+	}
+	if (written == (int)call->request->len)
+		return;
+	if (written > 0) {
+		buf.base += written;
+		buf.len -= (size_t)written;
+	}
+	conn->writing = 1;
+	conn->write.data = conn;
+	uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
+}
+
+static void on_connected(uv_connect_t *req, int status)
+{
+	struct http_conn *conn = req->data;
+
+	if (conn->closing)
+		return;
+	if (status) {
+		conn_failed(conn, FESCUE_EIO);
+		return;
+	}
+	socket_options_set(&conn->tcp);
+	uv_timer_start(&conn->call->timer, on_timeout, conn->call->timeout_ms,
+		       0);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	send_request(conn);
+}
+
+/* The latest used idle connection that may still be open at the peer. */
+static struct http_conn *take_idle(struct http_pool *pool, uint32_t max_ms)
+{
+	uint64_t now = uv_now(pool->loop);
+	struct http_conn *conn;
+
+	while ((conn = g_queue_peek_head(&pool->idle))) {
+		uint64_t age = now - conn->idle_since_ms;
+
+		if (age >= conn->idle_limit_ms) {
+			conn_close(conn);
+			continue;
+		}
+		if (max_ms && age > max_ms)
+			return NULL;
+		g_queue_pop_head(&pool->idle);
+		return conn;
+	}
+	return NULL;
+}
+
+static void open_conn(struct http_pool *pool, struct http_call *call)
+{
+	struct http_conn *conn = g_new0(struct http_conn, 1);
+
+	pool->conns++;
+	pool->opened++;
+	conn->pool = pool;
+	conn->call = call;
+	call->conn = conn;
+	uv_tcp_init(pool->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	conn->connect.data = conn;
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+			   (struct sockaddr *)&pool->address, on_connected))
+		fail_later(call, FESCUE_EIO);
 }
 
 static GString *encode_request(const struct http_pool *pool,
 			       const struct http_request *request)
 {
-	GString *out = g_string_sized_new(256 + request->body_size);
-
-	g_string_append_printf(out,
-			       "%s %s HTTP/1.1\r\nhost: %s\r\n"
-			       "connection: keep-alive\r\n"
-			       "content-length: %zu\r\n",
-			       request->method, request->path, pool->authority,
-			       request->body_size);
-	for (size_t i = 0; i < request->header_count; i++)
-		g_string_append_printf(out, "%s: %s\r\n",
-				       request->headers[i].name,
-				       request->headers[i].value);
+	GString *out = g_string_sized_new(512 + request->body_size);
+
+	g_string_append(out, request->method);
+	g_string_append_c(out, ' ');
+	g_string_append(out, request->path);
+	g_string_append(out, " HTTP/1.1\r\nhost: ");
+	g_string_append(out, request->host ? request->host : pool->authority);
+	g_string_append(out, "\r\n");
+	if (request->body_size ||
+	    (strcmp(request->method, "GET") && strcmp(request->method, "HEAD")))
+		g_string_append_printf(out, "content-length: %zu\r\n",
+				       request->body_size);
+	for (size_t i = 0; i < request->header_count; i++) {
+		g_string_append(out, request->headers[i].name);
+		g_string_append(out, ": ");
+		g_string_append(out, request->headers[i].value);
+		g_string_append(out, "\r\n");
+	}
 	g_string_append(out, "\r\n");
 	g_string_append_len(out, request->body, (gssize)request->body_size);
 	return out;
@@ -268,39 +531,49 @@
 	       void *data)
 {
 	struct http_call *call = g_new0(struct http_call, 1);
+	struct http_conn *conn;
 
 	call->pool = pool;
 	pool->calls++;
 	call->request = encode_request(pool, request);
 	call->method_is_head = !strcmp(request->method, "HEAD");
+	call->echo_name = g_strdup(request->echo_name);
+	call->echo = g_strdup(request->echo);
 	call->body = g_string_new(NULL);
+	call->name = g_string_new(NULL);
+	call->value = g_string_new(NULL);
 	call->headers = g_array_new(FALSE, FALSE, sizeof(struct http_header));
 	g_array_set_clear_func(call->headers, header_clear);
 	call->done = done;
 	call->data = data;
 	uv_timer_init(pool->loop, &call->timer);
 	call->timer.data = call;
-	uv_timer_start(&call->timer, on_timeout, request->timeout_ms, 0);
-	call->starting = 1;
-	h2o_http1client_connect_with_pool(&call->client, call, &pool->context,
-					  &pool->sockets, on_connect);
-	call->starting = 0;
+	call->timeout_ms = request->timeout_ms;
+	conn = take_idle(pool, request->idle_max_ms);
+	uv_timer_start(&call->timer, on_timeout,
+		       conn ? call->timeout_ms :
+			      MIN(call->timeout_ms, CONNECT_TIMEOUT_MS),
+		       0);
+	if (!conn) {
+		open_conn(pool, call);
+		return call;
+	}
+	conn->call = call;
+	call->conn = conn;
+	send_request(conn);
 	return call;
 }
 
 void http_call_cancel(struct http_call *call)
 {
-	if (call->client)
-		h2o_http1client_cancel(call->client);
-	call->client = NULL;
+	if (call->conn)
+		conn_close(call->conn);
+	call->conn = NULL;
 	call_release(call);
 }
 
 const char *http_result_header(const struct http_result *result,
 			       const char *name)
 {
-	for (size_t i = 0; i < result->header_count; i++)
-		if (!strcmp(result->headers[i].name, name))
-			return result->headers[i].value;
-	return NULL;
+	return find_header(result->headers, result->header_count, name);
 }
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -214,6 +214,16 @@
 	server->connections_max = connections;
 }
 
+void http_server_set_idle_timeout(struct http_server *server, uint32_t ms)
+{
+	server->context.http1.req_timeout.timeout = ms;
+}
+
+size_t http_server_waiting(const struct http_server *server)
+{
+	return g_hash_table_size(server->waiting);
+}
+
 void http_server_stop(struct http_server *server)
 {
 	if (!uv_is_closing((uv_handle_t *)&server->listener))
@@ -373,6 +383,11 @@
 	http_exchange_reply(exchange, status, &header, 1, text, strlen(text));
 }
 
+void http_exchange_close_after(struct http_exchange *exchange)
+{
+	exchange->req->http1_is_persistent = 0;
+}
+
 void http_exchange_abort(struct http_exchange *exchange)
 {
 	h2o_req_t *req = exchange->req;
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -41,6 +41,12 @@
 /* Close new connections at once while this many are open; 0: no limit. */
 void http_server_limit(struct http_server *server, size_t connections);
 
+/* How long a connection may stay idle, from now on. */
+void http_server_set_idle_timeout(struct http_server *server, uint32_t ms);
+
+/* Requests that have not been answered. */
+size_t http_server_waiting(const struct http_server *server);
+
 /* Stop to accept connections; open ones go on. */
 void http_server_stop(struct http_server *server);
 
@@ -87,6 +93,9 @@
 void http_exchange_reply_text(struct http_exchange *exchange, int status,
 			      const char *type, const char *text);
 
+/* Close the connection after the answer, and say so in it. */
+void http_exchange_close_after(struct http_exchange *exchange);
+
 /* Cut the connection without an answer, as a crash would. */
 void http_exchange_abort(struct http_exchange *exchange);
 
--- a/src/node.c
+++ b/src/node.c
@@ -3,11 +3,9 @@
 #include "backend_server.h"
 #include "bootstrap.h"
 #include "caller.h"
-#include "claim_task.h"
 #include "crash_report.h"
 #include "events.h"
 #include "fescue/error.h"
-#include "keyed_calls.h"
 #include "log.h"
 #include "operator.h"
 
@@ -19,7 +17,8 @@
 #define TICK_MS 50
 #define LINK_IDLE_MS 660000
 #define CUT_OFF_MS 5000
-#define DRAIN_NOTICE_MS 300 /* for peers to learn of the stop */
+/* Nothing in flight for this long: a stopping node may end. */
+#define DRAIN_IDLE_MS 150
 
 uint64_t node_now_ms(const struct node *node)
 {
@@ -39,7 +38,7 @@
 
 int node_is_draining(const struct node *node)
 {
-	return node->drain_deadline_ms != 0;
+	return node->drain_since_ms != 0;
 }
 
 int node_is_ready(const struct node *node, const char **why)
@@ -49,10 +48,12 @@
 	*why = "";
 	if (node_is_draining(node))
 		*why = "the node is stopping";
-	else if (!floor->confirmed)
-		*why = "the node does not know the newest version yet";
 	else if (!node->snapshot)
 		*why = "no configuration is in force yet";
+	else if (node->settings.floor_policy == FLOOR_PROMPT)
+		*why = "";
+	else if (!floor->confirmed)
+		*why = "the node does not know the newest version yet";
 	else if (!floor_allows(floor, snapshot_version(node->snapshot)))
 		*why = "the node has not reached the newest version yet";
 	return !**why;
@@ -75,6 +76,21 @@
 	return hosts;
 }
 
+/* The configuration for a call that enters here, also while stopping. */
+static struct snapshot *snapshot_for_caller(void *data, const char **why)
+{
+	struct node *node = data;
+
+	if (node_is_ready(node, why) || node_is_draining(node))
+		return node->snapshot;
+	return NULL;
+}
+
+static int is_stopping(void *data)
+{
+	return node_is_draining(data);
+}
+
 static void swap_snapshot(struct node *node, struct snapshot *next)
 {
 	struct snapshot *old = node->snapshot;
@@ -83,6 +99,8 @@
 	node->snapshot = next;
 	node->snapshot_generation = membership_generation(node->membership);
 	node->counters.values[COUNTER_snapshots_compiled]++;
+	http_server_set_idle_timeout(node->caller_server,
+				     snapshot_limits(next)->idle_ms);
 	snapshot_unref(old);
 }
 
@@ -195,41 +213,62 @@
 	node_update_config(node);
 }
 
-static void on_packet(void *data, uint64_t from, const Fescue__Packet *packet)
+static void on_packet(void *data, uint64_t from, Fescue__Packet *packet)
 {
 	struct node *node = data;
 
 	switch (packet->body_case) {
 	case FESCUE__PACKET__BODY_CALL_REQUEST:
 		backend_server_call(node->backend, from, packet->call_request);
+		packet->call_request = NULL;
+		packet->body_case = FESCUE__PACKET__BODY__NOT_SET;
 		break;
 	case FESCUE__PACKET__BODY_CALL_ANSWER:
-		if (!keyed_calls_take_answer(node->keyed, from,
-					     packet->call_answer))
-			caller_table_answer(node->callers, from,
-					    packet->call_answer);
+		caller_table_answer(node->callers, from, packet->call_answer);
 		break;
 	case FESCUE__PACKET__BODY_CALL_CANCEL:
 		backend_server_cancel(node->backend, from,
 				      packet->call_cancel->call_id);
 		break;
-	case FESCUE__PACKET__BODY_CLAIM_REQUEST:
-	case FESCUE__PACKET__BODY_CLAIM_REPLY:
-		claim_task_receive(node->claims, from, packet);
+	case FESCUE__PACKET__BODY_CALL_QUERY:
+		backend_server_query(node->backend, from,
+				     packet->call_query->call_id);
+		break;
+	case FESCUE__PACKET__BODY_CALL_RUNNING:
+		caller_table_running(node->callers, from,
+				     packet->call_running->call_id);
 		break;
 	case FESCUE__PACKET__BODY_QUARANTINE_REPORT:
 	case FESCUE__PACKET__BODY_QUARANTINE_ACK:
 		crash_reports_receive(node->crashes, from, packet);
 		break;
-	case FESCUE__PACKET__BODY_REPLAY_REQUEST:
-		keyed_calls_replay(node->keyed, from, packet->replay_request);
-		break;
 	default:
 		receive_control(node, from, packet);
 		break;
 	}
 }
 
+/* Deliver a packet of a task, to this node's own tasks or by a link. */
+static void send_packet(void *data, uint64_t to, Fescue__Packet *packet)
+{
+	struct node *node = data;
+
+	if (to == node->own)
+		on_packet(node, to, packet);
+	else
+		transport_send(node->transport, to, PACKET_CALL, packet);
+	packet_destroy(packet);
+}
+
+static void on_backend_changed(void *data, const struct backend_state *state)
+{
+	struct node *node = data;
+
+	membership_set_backend(node->membership, state->service, state->slots,
+			       state->serving);
+	node_update_config(node);
+}
+
 static void on_link_closed(void *data, uint64_t peer, int connected)
 {
 	struct node *node = data;
@@ -253,14 +292,20 @@
 
 static void finish_drain(struct node *node)
 {
+	const struct node_settings *settings = &node->settings;
 	uint64_t now_ms = node_now_ms(node);
-	uint64_t started = node->drain_deadline_ms - node->settings.drain_ms;
 	int idle = !caller_table_in_flight(node->callers) &&
 		   !backend_server_in_flight(node->backend);
 
-	if (now_ms < started + DRAIN_NOTICE_MS)
+	if (!idle)
+		node->idle_since_ms = 0;
+	else if (!node->idle_since_ms)
+		node->idle_since_ms = now_ms;
+	idle = node->idle_since_ms &&
+	       now_ms >= node->idle_since_ms + DRAIN_IDLE_MS;
+	if (now_ms < node->drain_since_ms + settings->stop_min_ms)
 		return;
-	if (!idle && now_ms < node->drain_deadline_ms)
+	if (!idle && now_ms < node->drain_since_ms + settings->drain_ms)
 		return;
 	log_state("stopped with %zu calls and %u runs in flight",
 		  caller_table_in_flight(node->callers),
@@ -280,9 +325,7 @@
 	}
 	distribution_tick(node->distribution, now_ms, &node->outbox);
 	bootstrap_tick(node->bootstrap);
-	claim_task_tick(node->claims);
 	crash_reports_tick(node->crashes);
-	keyed_calls_tick(node->keyed);
 	backend_server_tick(node->backend);
 	caller_table_tick(node->callers);
 	transport_expire(node->transport, LINK_IDLE_MS);
@@ -296,11 +339,11 @@
 {
 	if (node_is_draining(node))
 		return;
-	log_state("stopping: refusing new work");
-	node->drain_deadline_ms = node_now_ms(node) + node->settings.drain_ms;
-	backend_server_drain(node->backend);
+	log_state("stopping: no new calls for the backend server");
+	node->drain_since_ms = node_now_ms(node);
 	membership_leave(node->membership, &node->outbox);
-	http_server_stop(node->caller_server);
+	node_flush(node);
+	backend_server_drain(node->backend);
 	node_update_config(node);
 }
 
@@ -310,6 +353,91 @@
 	node_drain(signal->data);
 }
 
+static void on_hangup(uv_signal_t *signal, int number)
+{
+	struct node *node = signal->data;
+	struct node_settings settings;
+	char message[SETTINGS_ERROR_BYTES];
+
+	(void)number;
+	if (!node->settings_path)
+		return;
+	if (node_settings_read(node->settings_path, &settings, message)) {
+		log_error("settings stay as they are: %s", message);
+		return;
+	}
+	/* Addresses and policies need a restart; times do not. */
+	node->settings.drain_ms = settings.drain_ms;
+	node->settings.stop_min_ms = settings.stop_min_ms;
+	log_state("settings were read again");
+}
+
+static int take_announcement(void *data,
+			     const struct announcement *announcement)
+{
+	struct node *node = data;
+
+	backend_server_announce(node->backend, announcement);
+	return FESCUE_OK;
+}
+
+static int take_end(void *data, const char *id)
+{
+	struct node *node = data;
+
+	backend_server_leave(node->backend, id);
+	return FESCUE_OK;
+}
+
+static int answer_ready(void *data)
+{
+	const char *why;
+
+	return node_is_ready(data, &why);
+}
+
+static void create_tasks(struct node *node, uint32_t seed)
+{
+	const struct node_settings *s = &node->settings;
+	struct backend_server_settings backend = {
+		.policy = (enum admission_policy)s->admission_policy,
+		.announce_delay_ms = s->announce_delay_ms,
+		.changed = on_backend_changed,
+		.data = node,
+	};
+	struct caller_settings callers = {
+		.router_policy = (enum router_policy)s->router_policy,
+		.failure_domain = s->failure_domain,
+		.service = s->service,
+		.seed = seed,
+		.snapshot = snapshot_for_caller,
+		.is_stopping = is_stopping,
+		.data = node,
+	};
+
+	node->links = (struct task_links){
+		.loop = node->loop,
+		.counters = &node->counters,
+		.headers = interface_headers(s->interface),
+		.own = node->own,
+		.send = send_packet,
+		.data = node,
+	};
+	node->handlers = (struct platform_handlers){
+		.announce = take_announcement,
+		.end = take_end,
+		.is_ready = answer_ready,
+		.data = node,
+	};
+	node->quarantine = quarantine_create();
+	node->crashes = crash_reports_create(&node->links, node->membership,
+					     node->quarantine);
+	backend.quarantine = node->quarantine;
+	backend.crashes = node->crashes;
+	node->backend = backend_server_create(&node->links, &backend);
+	node->callers = caller_table_create(&node->links, &callers);
+}
+
 static void create_decisions(struct node *node)
 {
 	const struct node_settings *s = &node->settings;
@@ -330,32 +458,42 @@
 	node->distribution =
 		distribution_create(&s->distribution, node->membership);
 	node->bootstrap = bootstrap_create(node, seed + 1);
-	node->backend = backend_server_create(node);
-	node->callers = caller_table_create(node, seed + 2);
-	node->claims = claim_task_create(node, seed + 3);
-	node->quarantine = quarantine_create();
-	node->crashes = crash_reports_create(node);
-	node->keyed = keyed_calls_create(node);
+	create_tasks(node, seed + 2);
+}
+
+/* Listen for the platform's calls at an address of their own, if there is. */
+static int open_platform(struct node *node, struct address address,
+			 struct http_server **out)
+{
+	if (!address.port)
+		return FESCUE_OK;
+	return http_server_create(node->loop, address, platform_request,
+				  &node->handlers, out);
 }
 
 static int open_sockets(struct node *node)
 {
 	const struct node_settings *s = &node->settings;
 	struct transport_events events = { on_packet, on_link_closed, node };
-	struct address callers = { s->address, (uint16_t)s->caller_port };
 	struct address operators = { s->operator_address,
 				     (uint16_t)s->operator_port };
 	int error = transport_create(node->loop, node->peer_address, &events,
 				     &node->counters, &node->transport);
 
 	if (!error)
-		error = http_server_create(node->loop, callers,
-					   caller_table_request, node,
+		error = http_server_create(node->loop, s->callers,
+					   caller_table_request, node->callers,
 					   &node->caller_server);
 	if (!error)
 		error = http_server_create(node->loop, operators,
 					   operator_request, node,
 					   &node->operator_server);
+	if (!error)
+		error = open_platform(node, s->announcements,
+				      &node->announcement_server);
+	if (!error)
+		error = open_platform(node, s->readiness,
+				      &node->readiness_server);
 	return error;
 }
 
@@ -370,10 +508,14 @@
 	node->sigint.data = node;
 	uv_signal_start(&node->sigterm, on_signal, SIGTERM);
 	uv_signal_start(&node->sigint, on_signal, SIGINT);
+	uv_signal_init(node->loop, &node->sighup);
+	node->sighup.data = node;
+	uv_signal_start(&node->sighup, on_hangup, SIGHUP);
 }
 
 int node_create(uv_loop_t *loop, const struct node_settings *settings,
-		struct event_log *events, struct node **out)
+		const char *settings_path, struct event_log *events,
+		struct node **out)
 {
 	struct node *node = g_new0(struct node, 1);
 	int error;
@@ -381,6 +523,7 @@
 	*out = node;
 	node->loop = loop;
 	node->settings = *settings;
+	node->settings_path = settings_path;
 	node->events = events;
 	node->peer_address.ip = settings->address;
 	node->peer_address.port = (uint16_t)settings->peer_port;
@@ -405,10 +548,8 @@
 		transport_stop(node->transport);
 	caller_table_destroy(node->callers);
 	backend_server_destroy(node->backend);
-	keyed_calls_destroy(node->keyed);
 	crash_reports_destroy(node->crashes);
 	quarantine_destroy(node->quarantine);
-	claim_task_destroy(node->claims);
 	bootstrap_destroy(node->bootstrap);
 	store_client_destroy(node->store);
 	distribution_destroy(node->distribution);
--- a/src/node.h
+++ b/src/node.h
@@ -15,16 +15,15 @@
 #include "fescue/snapshot.h"
 #include "http_server.h"
 #include "node_settings.h"
-#include "store_client.h"
+#include "platform/platform.h"
+#include "platform/store_client.h"
+#include "task_links.h"
 #include "transport.h"
 
 struct bootstrap;
 struct backend_server;
 struct caller_table;
-struct claim_task;
 struct crash_reports;
-struct keyed_calls;
-struct operator_page;
 
 struct node {
 	uv_loop_t *loop;
@@ -45,25 +44,34 @@
 	struct caller_table *callers; /* calls that entered here */
 	struct quarantine *quarantine;
 	struct crash_reports *crashes;
-	struct claim_task *claims;
-	struct keyed_calls *keyed; /* calls here that run at most once */
+	struct task_links links;
+	struct platform_handlers handlers;
 	struct http_server *caller_server;
 	struct http_server *operator_server;
+	struct http_server *announcement_server; /* NULL: on operator_server */
+	struct http_server *readiness_server; /* NULL: on operator_server */
+	const char *settings_path; /* read again on SIGHUP; NULL: none */
 	uv_timer_t tick;
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
-	uint64_t drain_deadline_ms; /* 0 while not stopping */
+	uv_signal_t sighup;
+	uint64_t drain_since_ms; /* 0 while not stopping */
+	uint64_t idle_since_ms; /* while stopping: nothing in flight; or 0 */
 	int cut_off; /* no peer answered for a while */
 };
 
 /* Create and start a node on the loop. Returns 0 or FESCUE_EIO. */
 int node_create(uv_loop_t *loop, const struct node_settings *settings,
-		struct event_log *events, struct node **out);
+		const char *settings_path, struct event_log *events,
+		struct node **out);
 
 /* Free everything but the loop, which must have stopped. */
 void node_destroy(struct node *node);
 
-/* Refuse new work, finish what is in flight, then stop the loop. */
+/*
+ * Take no new calls for the backend server and report not ready, finish what
+ * is in flight, then stop the loop. Callers are served until then.
+ */
 void node_drain(struct node *node);
 int node_is_draining(const struct node *node);
 
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -1,10 +1,19 @@
 #include "node_settings.h"
 
-#include "fescue/claim.h"
+#include "fescue/error.h"
 
 #include <arpa/inet.h>
+#include <glib.h>
 #include <string.h>
 
+#define STOP_MIN_DEFAULT_MS 300 /* for peers to learn of the stop */
+/*
+ * Before a host takes calls, the others must know that it exists: what they
+ * have to tell it, such as a request that crashes backend servers, must not
+ * come after the calls.
+ */
+#define ANNOUNCE_DELAY_DEFAULT_MS 2000
+
 #define FIELD(member) offsetof(struct node_settings, member)
 #define NUMBER(key, member, min, max)                                 \
 	{                                                             \
@@ -15,11 +24,21 @@
 static const char *const router_policies[] = { "two-choices", "random", NULL };
 static const char *const admission_policies[] = { "classes", "fifo", NULL };
 
+static const char *const interfaces[] = { "fescue", "platform", NULL };
+static const char *const floors[] = { "strict", "prompt", NULL };
+
 static const struct setting table[] = {
 	{ "address", SETTING_IP, FIELD(address), 1, 0, 0, NULL },
 	{ "peer_port", SETTING_NUMBER, FIELD(peer_port), 1, 1, 65535, NULL },
-	{ "caller_port", SETTING_NUMBER, FIELD(caller_port), 1, 1, 65535,
+	{ "caller_port", SETTING_NUMBER, FIELD(caller_port), 0, 1, 65535,
+	  NULL },
+	{ "callers", SETTING_ADDRESS, FIELD(callers), 0, 0, 0, NULL },
+	{ "announcements", SETTING_ADDRESS, FIELD(announcements), 0, 0, 0,
 	  NULL },
+	{ "readiness", SETTING_ADDRESS, FIELD(readiness), 0, 0, 0, NULL },
+	{ "service", SETTING_TEXT, FIELD(service), 0, 0, 0, NULL },
+	{ "interface", SETTING_CHOICE, FIELD(interface), 0, 0, 0, interfaces },
+	{ "floor", SETTING_CHOICE, FIELD(floor_policy), 0, 0, 0, floors },
 	{ "operator_port", SETTING_NUMBER, FIELD(operator_port), 1, 1, 65535,
 	  NULL },
 	{ "operator_address", SETTING_IP, FIELD(operator_address), 0, 0, 0,
@@ -35,10 +54,9 @@
 	  admission_policies },
 	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
 	NUMBER("drain_ms", drain_ms, 0, 600000),
-	NUMBER("claims", claims, 0, 1),
-	NUMBER("claim_shards", claim_shards, 1, 256),
-	NUMBER("claim_interval_ms", claim_interval_ms, 0, 10000),
-	NUMBER("claim_retention_ms", claim_retention_ms, 1000, 604800000),
+	NUMBER("stop_min_ms", stop_min_ms, 0, 600000),
+	NUMBER("announce_delay_ms", announce_delay_ms, 0, 60000),
+	NUMBER("fetch_delay_ms", distribution.fetch_delay_ms, 0, 60000),
 	NUMBER("deltas", deltas, 0, 1),
 	NUMBER("relays_per_domain", distribution.relays_per_domain, 1, 16),
 	NUMBER("fan_out", distribution.fan_out, 1, 64),
@@ -61,10 +79,8 @@
 	settings->operator_address = INADDR_LOOPBACK;
 	settings->start_jitter_ms = 500;
 	settings->drain_ms = 30000;
-	settings->claims = 1;
-	settings->claim_shards = 8;
-	settings->claim_interval_ms = claim_defaults.interval_ms;
-	settings->claim_retention_ms = claim_defaults.retention_ms;
+	settings->stop_min_ms = STOP_MIN_DEFAULT_MS;
+	settings->announce_delay_ms = ANNOUNCE_DELAY_DEFAULT_MS;
 	settings->membership = membership_defaults;
 	settings->distribution = distribution_defaults;
 	settings->deltas = 1;
@@ -79,5 +95,17 @@
 	error = settings_read(path, table, sizeof(table) / sizeof(*table),
 			      settings, message);
 	settings->distribution.deltas = (int)settings->deltas;
+	if (!error && !settings->callers.port && !settings->caller_port) {
+		g_snprintf(message, SETTINGS_ERROR_BYTES,
+			   "%s: neither 'callers' nor 'caller_port' is set; "
+			   "add one",
+			   path);
+		return FESCUE_EINVAL;
+	}
+	if (!error && !settings->callers.port) {
+		settings->callers.ip = settings->address;
+		settings->callers.port = (uint16_t)settings->caller_port;
+	}
+	settings->caller_port = settings->callers.port;
 	return error;
 }
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -7,8 +7,15 @@
 #include "fescue/address.h"
 #include "fescue/distribution.h"
 #include "fescue/membership.h"
+#include "interface.h"
 #include "settings.h"
 
+/* When a node that starts may serve callers. */
+enum floor_policy {
+	FLOOR_STRICT, /* not below the version it had in an earlier run */
+	FLOOR_PROMPT, /* as soon as it has any version */
+};
+
 struct node_settings {
 	uint32_t address; /* IPv4, host byte order */
 	uint32_t peer_port;
@@ -19,10 +26,14 @@
 	struct address store;
 	uint32_t start_jitter_ms; /* spread of first store reads */
 	uint32_t drain_ms; /* longest wait for calls in flight on a stop */
-	uint32_t claims; /* 0: forward keyed calls once, as a baseline */
-	uint32_t claim_shards;
-	uint32_t claim_interval_ms; /* least time between commits of a shard */
-	uint32_t claim_retention_ms;
+	int interface; /* enum interface_type */
+	struct address callers; /* port 0: address and caller_port */
+	struct address announcements; /* port 0: on the operator port only */
+	struct address readiness; /* port 0: on the operator port only */
+	char service[SETTING_TEXT_BYTES]; /* of the own backend server */
+	uint32_t announce_delay_ms;
+	int floor_policy; /* enum floor_policy */
+	uint32_t stop_min_ms; /* least time between a stop signal and the end */
 	uint32_t deltas; /* 1: push differences, 0: whole texts */
 	int router_policy; /* enum router_policy */
 	int admission_policy; /* enum admission_policy */
--- a/src/operator.c
+++ b/src/operator.c
@@ -3,10 +3,13 @@
 #include "backend_server.h"
 #include "bootstrap.h"
 #include "caller.h"
+#include "fescue/error.h"
 
 #include <jansson.h>
 #include <string.h>
 
+#define SLOTS_MAX 10000
+
 static void reply_json(struct http_exchange *exchange, int status, json_t *json)
 {
 	char *text = json_dumps(json, JSON_INDENT(1));
@@ -106,40 +109,55 @@
 	reply_json(exchange, 200, status);
 }
 
-static json_t *explain_route(const struct node *node,
-			     const struct route_rule *rule,
-			     enum route_lookup found, struct route_handle route)
+/* One part of a route: its service and the hosts that may get its calls. */
+static json_t *explain_part(const struct node *node,
+			    const struct route_rule *rule,
+			    enum route_lookup found, struct route_handle route,
+			    uint32_t part)
 {
 	json_t *hosts = json_array();
 	struct service_handle service;
+	size_t n = 0;
 
-	if (found == ROUTE_FOUND) {
-		service = snapshot_route_service(node->snapshot, route);
-		for (size_t i = 0;
-		     i < snapshot_service_host_count(node->snapshot, service);
-		     i++) {
-			const struct snapshot_host *host =
-				snapshot_service_host(node->snapshot, service,
-						      i);
-			const struct host *known =
-				membership_find(node->membership, host->host);
-
-			if (known)
-				json_array_append_new(
-					hosts, host_to_json(node, known));
-		}
+	if (found == ROUTE_FOUND &&
+	    !snapshot_route_service(node->snapshot, route, part, &service))
+		n = snapshot_service_host_count(node->snapshot, service);
+	for (size_t i = 0; i < n; i++) {
+		const struct snapshot_host *host =
+			snapshot_service_host(node->snapshot, service, i);
+		const struct host *known =
+			membership_find(node->membership, host->host);
+
+		if (known)
+			json_array_append_new(hosts, host_to_json(node, known));
 	}
+	return json_pack("{s:s, s:i, s:o}", "service",
+			 rule->parts[part].service, "weight",
+			 (int)rule->parts[part].weight, "hosts", hosts);
+}
+
+static json_t *explain_route(const struct node *node,
+			     const struct route_rule *rule,
+			     enum route_lookup found, struct route_handle route)
+{
+	const struct contract *contract = &rule->contract;
+	json_t *parts = json_array();
+
+	for (uint32_t i = 0; i < rule->part_count; i++)
+		json_array_append_new(parts, explain_part(node, rule, found,
+							  route, i));
 	return json_pack(
-		"{s:s, s:I, s:i, s:s, s:s, s:s, s:s, s:s, s:b, s:i, "
-		"s:i, s:o}",
+		"{s:s, s:I, s:i, s:s, s:s, s:s, s:s, s:i, s:b, s:i, "
+		"s:i, s:i, s:o}",
 		"result", found == ROUTE_FOUND ? "routed" : "withdrawn",
 		"version", (json_int_t)snapshot_version(node->snapshot), "line",
 		(int)rule->line, "method", rule->method, "host", rule->host,
-		"prefix", rule->prefix, "service", rule->service, "class",
-		call_class_name(rule->contract.call_class), "idempotent",
-		rule->contract.idempotent, "deadline_ms",
-		(int)rule->contract.deadline_ms, "retries",
-		(int)rule->contract.retries, "hosts", hosts);
+		"prefix", rule->prefix, "class",
+		call_class_name(contract->call_class), "rank",
+		(int)contract->rank, "idempotent", contract->idempotent,
+		"deadline_ms", (int)contract->deadline_ms, "latency_ms",
+		(int)contract->latency_ms, "retries", (int)contract->retries,
+		"parts", parts);
 }
 
 static void reply_explain(struct node *node, struct http_exchange *exchange)
@@ -183,16 +201,61 @@
 			    text, size);
 }
 
+static int read_announcement(const struct http_text *body,
+			     struct announcement *out)
+{
+	json_t *object = json_loadb(body->bytes, body->size, 0, NULL);
+	const char *service =
+		json_string_value(json_object_get(object, "service"));
+	const char *address =
+		json_string_value(json_object_get(object, "address"));
+	json_int_t slots = json_integer_value(json_object_get(object, "slots"));
+	int error = FESCUE_EINVAL;
+
+	memset(out, 0, sizeof(*out));
+	if (service && *service && strlen(service) < sizeof(out->service) &&
+	    address && !address_parse(address, &out->address) && slots >= 1 &&
+	    slots <= SLOTS_MAX) {
+		g_strlcpy(out->service, service, sizeof(out->service));
+		out->slots = (uint32_t)slots;
+		error = FESCUE_OK;
+	}
+	json_decref(object);
+	return error;
+}
+
+static void take_announcement(struct node *node, struct http_exchange *exchange)
+{
+	struct http_text body = http_exchange_body(exchange);
+	struct announcement announcement;
+
+	if (read_announcement(&body, &announcement)) {
+		http_exchange_reply_text(
+			exchange, 400, "text/plain",
+			"announcement refused; send {\"service\": NAME, "
+			"\"address\": \"IP:PORT\", \"slots\": 1 to 10000}\n");
+		return;
+	}
+	backend_server_announce(node->backend, &announcement);
+	http_exchange_reply_text(exchange, 200, "text/plain", "announced\n");
+}
+
+static void take_leave(struct node *node, struct http_exchange *exchange)
+{
+	backend_server_leave(node->backend, NULL);
+	http_exchange_reply_text(exchange, 200, "text/plain", "leaving\n");
+}
+
 void operator_request(void *data, struct http_exchange *exchange)
 {
 	struct node *node = data;
 
 	if (http_exchange_method_is(exchange, "POST") &&
 	    http_exchange_path_is(exchange, "/backend"))
-		backend_server_announce(node->backend, exchange);
+		take_announcement(node, exchange);
 	else if (http_exchange_method_is(exchange, "POST") &&
 		 http_exchange_path_is(exchange, "/backend/leave"))
-		backend_server_leave(node->backend, exchange);
+		take_leave(node, exchange);
 	else if (http_exchange_path_is(exchange, "/counters"))
 		reply_counters(node, exchange);
 	else if (http_exchange_path_is(exchange, "/status"))
--- a/src/retry.c
+++ b/src/retry.c
@@ -24,20 +24,24 @@
 
 static int is_safe(const struct retry_question *q)
 {
-	if (q->outcome == CALL_NOT_RUN)
+	switch (q->outcome) {
+	case CALL_NOT_RUN:
 		return 1;
-	return q->outcome == CALL_UNKNOWN && q->contract->idempotent;
+	case CALL_UNKNOWN:
+		return q->contract->idempotent;
+	case CALL_RAN:
+		return q->contract->idempotent && q->server_error;
+	}
+	return 0;
 }
 
 int retry_allow(struct retry_budget *budget, const struct retry_question *q)
 {
-	if (q->final || !is_safe(q))
-		return 0;
-	if (q->attempts > q->contract->retries)
-		return 0;
-	if (q->remaining_ms < MIN_REMAINING_MS)
+	if (q->final || !is_safe(q) || q->remaining_ms < MIN_REMAINING_MS)
 		return 0;
-	if (budget->tokens < 1)
+	if (!q->arrived)
+		return q->moves <= RETRY_MOVES_MAX;
+	if (q->attempts > q->contract->retries || budget->tokens < 1)
 		return 0;
 	budget->tokens -= 1;
 	return 1;
--- a/src/router.c
+++ b/src/router.c
@@ -286,13 +286,10 @@
 	e->last_used_ms = now_ms;
 }
 
-static void record_failure(struct router *r, struct host_evidence *e,
-			   uint64_t now_ms)
+static void eject(struct router *r, struct host_evidence *e, uint64_t now_ms)
 {
 	uint64_t ms;
 
-	if (++e->failures < r->settings.failures_to_eject)
-		return;
 	ms = (uint64_t)r->settings.ejection_ms
 	     << MIN(e->ejections, EJECTION_DOUBLINGS_MAX);
 	e->ejected_until_ms = now_ms + MIN(ms, r->settings.ejection_max_ms);
@@ -300,6 +297,13 @@
 	e->failures = 0;
 }
 
+static void record_failure(struct router *r, struct host_evidence *e,
+			   uint64_t now_ms)
+{
+	if (++e->failures >= r->settings.failures_to_eject)
+		eject(r, e, now_ms);
+}
+
 /* A backend server that sheds while it has free slots is not well. */
 static int refused_with_room(const struct router_load *load)
 {
@@ -329,6 +333,10 @@
 	case ROUTER_FAILED:
 		record_failure(r, e, now_ms);
 		break;
+	case ROUTER_UNREACHABLE:
+		if (!router_is_ejected(r, host, now_ms))
+			eject(r, e, now_ms);
+		break;
 	case ROUTER_REFUSED:
 		if (refused_with_room(load))
 			record_failure(r, e, now_ms);
--- /dev/null
+++ b/src/rules_table.h
@@ -0,0 +1,22 @@
+/*
+ * The tables behind a rule set, filled in by the parser.
+ */
+#ifndef FESCUE_RULES_TABLE_H
+#define FESCUE_RULES_TABLE_H
+
+#include "fescue/rules.h"
+
+#include <glib.h>
+
+struct rules {
+	GArray *services; /* struct service_rule */
+	GArray *routes; /* struct route_rule */
+	struct limits_rule limits;
+};
+
+struct rules *rules_create(void);
+
+/* Order the routes so that the first match of a call is the best one. */
+void rules_sort(struct rules *rules);
+
+#endif
--- /dev/null
+++ b/src/socket_options.c
@@ -0,0 +1,41 @@
+#include "socket_options.h"
+
+#include "log.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* A link between hosts answers in milliseconds: seconds of silence are loss. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define USER_TIMEOUT_MS 2000
+
+static void set(int fd, int level, int option, int value)
+{
+	static int reported;
+
+	if (!setsockopt(fd, level, option, &value, sizeof(value)) || reported)
+		return;
+	reported = 1;
+	log_error("socket option %d cannot be set: %s; silent peers are "
+		  "noticed later",
+		  option, strerror(errno));
+}
+
+void socket_options_set(uv_tcp_t *tcp)
+{
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(tcp, 1);
+	if (uv_fileno((uv_handle_t *)tcp, &fd))
+		return;
+	set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+}
--- a/src/transport.c
+++ b/src/transport.c
@@ -2,14 +2,23 @@
 
 #include "fescue/error.h"
 #include "log.h"
+#include "socket_options.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #define LISTEN_BACKLOG 512
 #define FRAME_HEADER_BYTES 4
 #define READ_BUFFER_BYTES 65536
 #define DATAGRAM_OVERHEAD_BYTES 28
-#define CONNECT_TIMEOUT_MS 1000
+/* Round trips take milliseconds; a call that never left may go elsewhere. */
+#define CONNECT_TIMEOUT_MS 400
+/* A link that carried a call this lately may hold up work in flight. */
+#define BUSY_MS 6000
+/* Silence after which a busy link is asked for a sign of life. */
+#define PING_AFTER_MS 400
+/* A frozen or cut-off peer is given up after this, a slow one is not. */
+#define PING_TIMEOUT_MS 1000
 
 enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSING };
 
@@ -21,6 +30,8 @@
 	uint64_t peer; /* 0 until an accepted peer says hello */
 	enum link_state state;
 	uint64_t used_ms;
+	uint64_t heard_ms;
+	uint64_t ping_ms; /* when a sign of life was asked for; 0: not */
 	GByteArray *input;
 	GQueue waiting; /* GByteArray, frames until connected */
 };
@@ -83,9 +94,14 @@
 	return bytes;
 }
 
-/* Decode and hand on one packet; returns 0 or FESCUE_EINVAL. */
-static int deliver(struct transport *t, uint64_t from, const uint8_t *bytes,
-		   size_t size, size_t overhead)
+static int link_take(struct link *link, const Fescue__Packet *packet);
+
+/*
+ * Decode and hand on one packet; link is NULL for a datagram. Returns 0 or
+ * FESCUE_EINVAL.
+ */
+static int deliver(struct transport *t, struct link *link, uint64_t from,
+		   const uint8_t *bytes, size_t size, size_t overhead)
 {
 	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
 
@@ -95,11 +111,31 @@
 		return FESCUE_EINVAL;
 	}
 	t->counters->bytes_received[purpose_of(packet)] += size + overhead;
-	t->events.received(t->events.data, from, packet);
+	if (!link || !link_take(link, packet))
+		t->events.received(t->events.data, from, packet);
 	packet_destroy(packet);
 	return FESCUE_OK;
 }
 
+static void link_write(struct link *link, GByteArray *frame);
+
+static void link_send_bare(struct link *link, Fescue__Packet__BodyCase body)
+{
+	Fescue__Packet *packet = packet_create(body);
+
+	link_write(link, encode(packet, FRAME_HEADER_BYTES));
+	packet_destroy(packet);
+}
+
+/* Handle what concerns the link itself; returns 1 if the packet did. */
+static int link_take(struct link *link, const Fescue__Packet *packet)
+{
+	if (packet->body_case == FESCUE__PACKET__BODY_LINK_PING)
+		link_send_bare(link, FESCUE__PACKET__BODY_LINK_PONG);
+	return packet->body_case == FESCUE__PACKET__BODY_LINK_PING ||
+	       packet->body_case == FESCUE__PACKET__BODY_LINK_PONG;
+}
+
 static void link_free(uv_handle_t *handle)
 {
 	struct link *link = handle->data;
@@ -193,7 +229,7 @@
 		receive_hello(link, bytes, body);
 		if (!link->peer)
 			link_close(link);
-	} else if (deliver(link->transport, link->peer, bytes, body,
+	} else if (deliver(link->transport, link, link->peer, bytes, body,
 			   FRAME_HEADER_BYTES)) {
 		link_close(link);
 	}
@@ -209,7 +245,8 @@
 		link_close(link);
 		return;
 	}
-	link->used_ms = uv_now(link->transport->loop);
+	link->heard_ms = uv_now(link->transport->loop);
+	link->ping_ms = 0;
 	g_byte_array_append(link->input, (guint8 *)buf->base, (guint)n);
 	while (link->state == LINK_OPEN &&
 	       (step = take_frame(link, link->input->data + used,
@@ -236,7 +273,8 @@
 static void link_start(struct link *link)
 {
 	link->state = LINK_OPEN;
-	uv_tcp_nodelay(&link->tcp, 1);
+	link->heard_ms = uv_now(link->transport->loop);
+	socket_options_set(&link->tcp);
 	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
 	link->transport->counters->values[COUNTER_links_opened]++;
 }
@@ -377,6 +415,21 @@
 	g_hash_table_destroy(peers);
 }
 
+static void review_silence(struct link *link, uint64_t now)
+{
+	if (link->state != LINK_OPEN || !link->peer)
+		return;
+	if (link->ping_ms && now >= link->ping_ms + PING_TIMEOUT_MS) {
+		log_state("link with peer %016" PRIx64 " is silent: closing it",
+			  link->peer);
+		link_close(link);
+	} else if (!link->ping_ms && now <= link->used_ms + BUSY_MS &&
+		   now >= link->heard_ms + PING_AFTER_MS) {
+		link->ping_ms = now;
+		link_send_bare(link, FESCUE__PACKET__BODY_LINK_PING);
+	}
+}
+
 void transport_expire(struct transport *t, uint64_t idle_ms)
 {
 	uint64_t now = uv_now(t->loop);
@@ -387,8 +440,12 @@
 					 CONNECT_TIMEOUT_MS :
 					 idle_ms;
 
-		if (now > link->used_ms + limit)
+		if (now > MAX(link->used_ms, link->heard_ms) + limit)
 			link_close(link);
+		else
+			review_silence(link, now);
+		/* Closing one may have closed others. */
+		i = MIN(i, t->all->len);
 	}
 }
 
@@ -410,8 +467,8 @@
 		return;
 	address = address_from_sockaddr(
 		(const struct sockaddr_in *)(const void *)from);
-	deliver(t, address_key(address), (const uint8_t *)buf->base, (size_t)n,
-		DATAGRAM_OVERHEAD_BYTES);
+	deliver(t, NULL, address_key(address), (const uint8_t *)buf->base,
+		(size_t)n, DATAGRAM_OVERHEAD_BYTES);
 }
 
 static int bind_sockets(struct transport *t)
--- a/src/transport.h
+++ b/src/transport.h
@@ -16,9 +16,8 @@
 struct transport;
 
 struct transport_events {
-	/* The packet is valid during the call only. */
-	void (*received)(void *data, uint64_t from,
-			 const Fescue__Packet *packet);
+	/* The packet is valid during the call only; its parts may be taken. */
+	void (*received)(void *data, uint64_t from, Fescue__Packet *packet);
 	/*
 	 * A link ended. connected is 0 when it never stood, so that nothing
 	 * sent on it can have arrived.
@@ -48,7 +47,10 @@
 			 enum packet_purpose purpose,
 			 const Fescue__Packet *packet);
 
-/* Close links unused for idle_ms. */
+/*
+ * Advance time: ask links that carried calls lately and fell silent for a
+ * sign of life, and close those that give none, or are unused for idle_ms.
+ */
 void transport_expire(struct transport *transport, uint64_t idle_ms);
 
 #endif
