--- a/src/node.c
+++ b/src/node.c
@@ -76,12 +76,20 @@
 	return hosts;
 }
 
-/* The configuration for a call that enters here, also while stopping. */
+/*
+ * The configuration for a call that enters here. A stopping node still serves
+ * what comes while callers learn of the stop; later calls could not be
+ * finished before it ends.
+ */
 static struct snapshot *snapshot_for_caller(void *data, const char **why)
 {
 	struct node *node = data;
 
-	if (node_is_ready(node, why) || node_is_draining(node))
+	if (node_is_ready(node, why))
+		return node->snapshot;
+	if (node_is_draining(node) &&
+	    node_now_ms(node) <
+		    node->drain_since_ms + node->settings.stop_min_ms)
 		return node->snapshot;
 	return NULL;
 }
