--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -73,6 +73,9 @@
 /* Remove a queued call; returns 0 or FESCUE_ENOTFOUND. */
 int admission_cancel(struct admission *admission, uint64_t ticket);
 
+/* Mean time of a call in its slot, 0 before the first one ended. */
+uint32_t admission_service_us(const struct admission *admission);
+
 /* Expected time until a call that comes now would be done. */
 uint32_t admission_wait_ms(const struct admission *admission);
 
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -1,12 +1,12 @@
 /*
  * Router: which host gets a call.
  *
- * Hosts of the own failure domain come first while they have room, then any
- * host with room, then all; of those two random ones are compared by load and
- * latency. Outcomes of
- * own calls eject a failing host for a while, but never more than half of a
- * service's hosts. A host seen for the first time starts slowly. The module
- * owns no socket and reads no clock.
+ * Each host is given the time that a call is expected to take there: time in
+ * a slot, wait for one, what its failures cost, and for a host of another
+ * failure domain what the bytes between domains are worth. One of the
+ * cheapest gets the call. Hosts that cannot be reached are left out for a
+ * while, but never more than half of a service's hosts. A host seen for the
+ * first time starts slowly. The module owns no socket and reads no clock.
  */
 #ifndef FESCUE_ROUTER_H
 #define FESCUE_ROUTER_H
@@ -14,8 +14,13 @@
 #include "fescue/snapshot.h"
 
 enum router_policy {
-	ROUTER_TWO_CHOICES, /* the policy described above */
-	ROUTER_RANDOM, /* any host; the baseline for measurements */
+	ROUTER_COST, /* the policy described above */
+	/*
+	 * Baseline: the cheaper of two random hosts, by load and latency, own
+	 * domain first while it has room; three failures in a row eject.
+	 */
+	ROUTER_TWO_CHOICES,
+	ROUTER_RANDOM, /* baseline: any host */
 };
 
 struct router_settings {
@@ -26,6 +31,10 @@
 	uint32_t failures_to_eject; /* consecutive */
 	uint32_t ejection_ms; /* doubled each time in a row */
 	uint32_t ejection_max_ms;
+	uint32_t failure_cost_ms; /* a failed call costs as much as this time */
+	uint32_t failure_half_life_ms; /* ageing of the share that fails */
+	uint32_t cross_domain_ms; /* added for a host of another domain */
+	uint32_t cross_domain_ms_per_kb; /* and for each kB of the call */
 };
 
 extern const struct router_settings router_defaults;
@@ -43,6 +52,7 @@
 	uint32_t in_use;
 	uint32_t queued;
 	uint32_t slots;
+	uint32_t service_us; /* mean time of a call in a slot; 0: not known */
 };
 
 struct router;
@@ -51,14 +61,23 @@
 			     uint32_t seed);
 void router_destroy(struct router *router);
 
+/* What is to be routed. */
+struct router_question {
+	const struct snapshot *snapshot;
+	struct service_handle service;
+	const char *own_domain;
+	const uint64_t *excluded; /* hosts that were tried already */
+	size_t excluded_count;
+	double kilobytes; /* of request and answer, expected */
+	uint64_t now_ms;
+};
+
 /*
- * Choose a host of the service that is not among excluded. Returns 0 and
- * stores its address key, or FESCUE_ENOTFOUND when none is left.
+ * Choose a host of the service. Returns 0 and stores its address key, or
+ * FESCUE_ENOTFOUND when none is left.
  */
-int router_choose(struct router *router, const struct snapshot *snapshot,
-		  struct service_handle service, const char *own_domain,
-		  const uint64_t *excluded, size_t excluded_count,
-		  uint64_t now_ms, uint64_t *host);
+int router_choose(struct router *router, const struct router_question *question,
+		  uint64_t *host);
 
 /* A call was sent to the host. Pair with router_finished(). */
 void router_started(struct router *router, uint64_t host, uint64_t now_ms);
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1999,7 +1999,7 @@
   (ProtobufCMessageInit) fescue__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[14] =
+static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[15] =
 {
   {
     "call_id",
@@ -2169,6 +2169,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__CallAnswer, service_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_answer__field_indices_by_name[] = {
   12,   /* field[12] = arrived */
@@ -2182,6 +2194,7 @@
   8,   /* field[8] = queued */
   6,   /* field[6] = reason */
   13,   /* field[13] = retry_after_ms */
+  14,   /* field[14] = service_us */
   9,   /* field[9] = slots */
   2,   /* field[2] = status */
   11,   /* field[11] = suspect */
@@ -2189,7 +2202,7 @@
 static const ProtobufCIntRange fescue__call_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor fescue__call_answer__descriptor =
 {
@@ -2199,7 +2212,7 @@
   "Fescue__CallAnswer",
   "fescue",
   sizeof(Fescue__CallAnswer),
-  14,
+  15,
   fescue__call_answer__field_descriptors,
   fescue__call_answer__field_indices_by_name,
   1,  fescue__call_answer__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -328,10 +328,14 @@
    * when there may be room; 0: not told
    */
   uint32_t retry_after_ms;
+  /*
+   * mean time of a call in a slot there
+   */
+  uint32_t service_us;
 };
 #define FESCUE__CALL_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_answer__descriptor) \
-    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fescue__CallCancel
--- a/src/admission.c
+++ b/src/admission.c
@@ -250,6 +250,11 @@
 	return FESCUE_ENOTFOUND;
 }
 
+uint32_t admission_service_us(const struct admission *a)
+{
+	return (uint32_t)a->service_us;
+}
+
 uint32_t admission_wait_ms(const struct admission *a)
 {
 	double queued = admission_queued(a);
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -18,6 +18,7 @@
 	answer->in_use = admission_in_use(admission);
 	answer->queued = admission_queued(admission);
 	answer->slots = admission_slots(admission);
+	answer->service_us = admission_service_us(admission);
 	return packet;
 }
 
--- a/src/caller.c
+++ b/src/caller.c
@@ -2,6 +2,7 @@
 
 #include "call_reply.h"
 #include "call_request.h"
+#include "call_sizes.h"
 #include "events.h"
 #include "fescue/error.h"
 #include "log.h"
@@ -55,6 +56,7 @@
 	struct caller_settings settings;
 	struct router *router;
 	GRand *random;
+	struct call_sizes *sizes;
 	struct retry_budget budget;
 	uint64_t next_id;
 	GHashTable *attempts; /* id -> struct call */
@@ -141,6 +143,8 @@
 	struct caller_table *t = c->callers;
 
 	count_outcome(c, CALL_RAN);
+	call_sizes_note(t->sizes, snapshot_route(c->snapshot, c->route),
+			answer->body.len);
 	review_connection(t, c->exchange);
 	call_reply_answer(c->exchange, t->links->headers, answer,
 			  snapshot_version(c->snapshot));
@@ -217,13 +221,21 @@
 {
 	struct caller_table *t = c->callers;
 	struct service_handle service;
+	struct router_question question = {
+		.snapshot = c->snapshot,
+		.own_domain = t->settings.failure_domain,
+		.excluded = c->tried,
+		.excluded_count = c->tried_count,
+		.kilobytes = call_sizes_kilobytes(
+			t->sizes, snapshot_route(c->snapshot, c->route)),
+		.now_ms = now_ms(t),
+	};
 
 	if (c->tried_count == TRIED_MAX ||
 	    snapshot_route_service(c->snapshot, c->route, c->part, &service))
 		return FESCUE_ENOTFOUND;
-	return router_choose(t->router, c->snapshot, service,
-			     t->settings.failure_domain, c->tried,
-			     c->tried_count, now_ms(t), host);
+	question.service = service;
+	return router_choose(t->router, &question, host);
 }
 
 static void attempt(struct call *c, enum call_outcome outcome,
@@ -352,7 +364,7 @@
 {
 	struct call *c = g_hash_table_lookup(t->attempts, &answer->call_id);
 	struct router_load load = { answer->in_use, answer->queued,
-				    answer->slots };
+				    answer->slots, answer->service_us };
 	struct retry_question ended = { .arrived = answer->arrived,
 					.final = answer->final };
 
@@ -593,8 +605,10 @@
 	t->links = links;
 	t->settings = *settings;
 	router.policy = settings->router_policy;
+	router.cross_domain_ms_per_kb = settings->cross_domain_ms_per_kb;
 	t->router = router_create(&router, settings->seed);
 	t->random = g_rand_new_with_seed(settings->seed + 1);
+	t->sizes = call_sizes_create();
 	t->budget.tokens = RETRY_TOKENS_MAX;
 	t->next_id = wall_clock_us() << ID_INCARNATION_SHIFT >> 1;
 	t->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -608,6 +622,7 @@
 	g_hash_table_destroy(t->attempts);
 	router_destroy(t->router);
 	g_rand_free(t->random);
+	call_sizes_destroy(t->sizes);
 	g_free(t);
 }
 
--- a/src/caller.h
+++ b/src/caller.h
@@ -15,6 +15,7 @@
 
 struct caller_settings {
 	enum router_policy router_policy;
+	uint32_t cross_domain_ms_per_kb; /* see struct router_settings */
 	const char *failure_domain; /* of this host */
 	const char *service; /* of the backend server beside it; "": not told */
 	uint32_t seed;
--- a/src/node.c
+++ b/src/node.c
@@ -415,6 +415,7 @@
 	};
 	struct caller_settings callers = {
 		.router_policy = (enum router_policy)s->router_policy,
+		.cross_domain_ms_per_kb = s->cross_domain_ms_per_kb,
 		.failure_domain = s->failure_domain,
 		.service = s->service,
 		.seed = seed,
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -1,6 +1,7 @@
 #include "node_settings.h"
 
 #include "fescue/error.h"
+#include "fescue/router.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -21,7 +22,8 @@
 	}
 
 static const char *const modes[] = { "relay", "gossip", "poll", NULL };
-static const char *const router_policies[] = { "two-choices", "random", NULL };
+static const char *const router_policies[] = { "cost", "two-choices", "random",
+					      NULL };
 static const char *const admission_policies[] = { "classes", "fifo", NULL };
 
 static const char *const interfaces[] = { "fescue", "platform", NULL };
@@ -56,6 +58,7 @@
 	NUMBER("drain_ms", drain_ms, 0, 600000),
 	NUMBER("stop_min_ms", stop_min_ms, 0, 600000),
 	NUMBER("announce_delay_ms", announce_delay_ms, 0, 60000),
+	NUMBER("cross_domain_ms_per_kb", cross_domain_ms_per_kb, 0, 60000),
 	NUMBER("fetch_delay_ms", distribution.fetch_delay_ms, 0, 60000),
 	NUMBER("deltas", deltas, 0, 1),
 	NUMBER("relays_per_domain", distribution.relays_per_domain, 1, 16),
@@ -84,6 +87,8 @@
 	settings->membership = membership_defaults;
 	settings->distribution = distribution_defaults;
 	settings->deltas = 1;
+	settings->cross_domain_ms_per_kb =
+		router_defaults.cross_domain_ms_per_kb;
 }
 
 int node_settings_read(const char *path, struct node_settings *settings,
--- a/src/router.c
+++ b/src/router.c
@@ -13,15 +13,26 @@
 #define CLEARLY_CHEAPER 0.8
 #define EJECTED_SHARE_MAX 2 /* at most one in this many */
 #define EJECTION_DOUBLINGS_MAX 5
+#define FAILURE_WEIGHT 0.15 /* of the latest result in the share that fails */
+#define SERVICE_INITIAL_MS 10.0 /* before any host told its own */
+/* A host whose slots are nearly all taken is slower than an idle one. */
+#define CROWDING_WEIGHT 0.3
+/* Costs this close are equal: entry nodes must not all pick the same host. */
+#define EQUAL_COST_FACTOR 1.1
+#define EQUAL_COST_MS 2.0
 
 const struct router_settings router_defaults = {
-	.policy = ROUTER_TWO_CHOICES,
+	.policy = ROUTER_COST,
 	.slow_start_ms = 5000,
 	.load_half_life_ms = 500,
 	.latency_half_life_ms = 5000,
 	.failures_to_eject = 3,
 	.ejection_ms = 1000,
 	.ejection_max_ms = 30000,
+	.failure_cost_ms = 400,
+	.failure_half_life_ms = 3000,
+	.cross_domain_ms = 5,
+	.cross_domain_ms_per_kb = 20,
 };
 
 /* What own calls have shown of one host. */
@@ -31,6 +42,9 @@
 	struct router_load load;
 	uint64_t load_at_ms;
 	double latency_us;
+	uint32_t sent_since; /* calls sent since the load was reported */
+	double failing; /* share of its calls that fail */
+	uint64_t failing_at_ms;
 	uint32_t failures;
 	uint32_t ejections;
 	uint64_t ejected_until_ms;
@@ -170,13 +184,10 @@
 
 /* Hosts that may get the call; ejected ones only when too many are. */
 static GArray *find_candidates(struct router *r,
-			       const struct snapshot *snapshot,
-			       struct service_handle service,
-			       const uint64_t *excluded, size_t excluded_count,
-			       uint64_t now_ms)
+			       const struct router_question *q)
 {
-	size_t n = snapshot_service_host_count(snapshot, service);
-	size_t ejected = count_ejected(r, snapshot, service, now_ms);
+	size_t n = snapshot_service_host_count(q->snapshot, q->service);
+	size_t ejected = count_ejected(r, q->snapshot, q->service, q->now_ms);
 	int honour = ejected * EJECTED_SHARE_MAX <= n;
 	GArray *candidates = g_array_sized_new(
 		FALSE, FALSE, sizeof(struct candidate), (guint)n);
@@ -184,12 +195,12 @@
 	for (size_t i = 0; i < n; i++) {
 		struct candidate c;
 
-		c.host = snapshot_service_host(snapshot, service, i);
-		if (is_excluded(c.host->host, excluded, excluded_count))
+		c.host = snapshot_service_host(q->snapshot, q->service, i);
+		if (is_excluded(c.host->host, q->excluded, q->excluded_count))
 			continue;
-		if (honour && router_is_ejected(r, c.host->host, now_ms))
+		if (honour && router_is_ejected(r, c.host->host, q->now_ms))
 			continue;
-		c.evidence = get_evidence(r, c.host->host, now_ms);
+		c.evidence = get_evidence(r, c.host->host, q->now_ms);
 		g_array_append_val(candidates, c);
 	}
 	r->warm = 1;
@@ -248,31 +259,121 @@
 		       a;
 }
 
+/* Mean time in a slot over the candidates that told theirs. */
+static double mean_service_ms(const GArray *candidates)
+{
+	double sum = 0;
+	guint known = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct candidate *c = candidate_at(candidates, i);
+
+		if (!c->evidence->load.service_us)
+			continue;
+		sum += c->evidence->load.service_us / 1000.0;
+		known++;
+	}
+	return known ? sum / known : SERVICE_INITIAL_MS;
+}
+
+/* The share of failures, forgotten with time so that a host is tried again. */
+static double aged_failing(const struct router *r,
+			   const struct host_evidence *e, uint64_t now_ms)
+{
+	double age = (double)(now_ms - e->failing_at_ms);
+
+	return e->failing * exp2(-age / r->settings.failure_half_life_ms);
+}
+
+/* What a host told of its slots, forgotten towards the mean of all hosts. */
+static double aged_service_ms(const struct router *r,
+			      const struct host_evidence *e, double mean_ms,
+			      uint64_t now_ms)
+{
+	double age = (double)(now_ms - e->load_at_ms);
+	double factor = exp2(-age / r->settings.latency_half_life_ms);
+
+	if (!e->load.service_us)
+		return mean_ms;
+	return mean_ms + (e->load.service_us / 1000.0 - mean_ms) * factor;
+}
+
+/* Time until a call sent now would be answered, and what else it costs. */
+static double expected_cost(const struct router *r, const struct candidate *c,
+			    const struct router_question *q, double mean_ms)
+{
+	const struct host_evidence *e = c->evidence;
+	double service = aged_service_ms(r, e, mean_ms, q->now_ms);
+	double slots = MAX(c->host->slots, 1) *
+		       slow_start_share(r, e, q->now_ms);
+	double load = MAX((double)e->outstanding,
+			  aged_load(r, e, q->now_ms) + e->sent_since);
+	double crowding = MIN(load / slots, 1.0);
+	double cost = service * (1 + CROWDING_WEIGHT * crowding * crowding);
+
+	if (load + 1 > slots)
+		cost += service * (load + 1 - slots) / slots;
+	cost += aged_failing(r, e, q->now_ms) * r->settings.failure_cost_ms;
+	if (strcmp(c->host->failure_domain, q->own_domain))
+		cost += r->settings.cross_domain_ms +
+			r->settings.cross_domain_ms_per_kb * q->kilobytes;
+	return cost;
+}
+
+/* One of the cheapest hosts, at random. */
+static const struct candidate *
+cheapest(struct router *r, const GArray *candidates,
+	 const struct router_question *q)
+{
+	double mean_ms = mean_service_ms(candidates);
+	double *costs = g_new(double, candidates->len);
+	double least = HUGE_VAL;
+	const struct candidate *chosen = NULL;
+	guint32 equals = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		costs[i] = expected_cost(r, candidate_at(candidates, i), q,
+					 mean_ms);
+		least = MIN(least, costs[i]);
+	}
+	for (guint i = 0; i < candidates->len; i++) {
+		if (costs[i] > least * EQUAL_COST_FACTOR + EQUAL_COST_MS)
+			continue;
+		if (!g_rand_int_range(r->random, 0, (gint32)++equals))
+			chosen = candidate_at(candidates, i);
+	}
+	g_free(costs);
+	return chosen;
+}
+
 static const struct candidate *pick(struct router *r, GArray *candidates,
-				    const char *own_domain, uint64_t now_ms)
+				    const struct router_question *q)
 {
-	if (r->settings.policy == ROUTER_RANDOM)
+	switch (r->settings.policy) {
+	case ROUTER_COST:
+		return cheapest(r, candidates, q);
+	case ROUTER_RANDOM:
 		return candidate_at(candidates, (guint)g_rand_int_range(
 							r->random, 0,
 							(gint)candidates->len));
-	if (!keep_roomy(r, candidates, own_domain, now_ms))
-		keep_roomy(r, candidates, NULL, now_ms);
-	return two_choices(r, candidates, now_ms);
+	case ROUTER_TWO_CHOICES:
+		break;
+	}
+	if (!keep_roomy(r, candidates, q->own_domain, q->now_ms))
+		keep_roomy(r, candidates, NULL, q->now_ms);
+	return two_choices(r, candidates, q->now_ms);
 }
 
-int router_choose(struct router *r, const struct snapshot *snapshot,
-		  struct service_handle service, const char *own_domain,
-		  const uint64_t *excluded, size_t excluded_count,
-		  uint64_t now_ms, uint64_t *host)
+int router_choose(struct router *r, const struct router_question *q,
+		  uint64_t *host)
 {
-	GArray *candidates = find_candidates(r, snapshot, service, excluded,
-					     excluded_count, now_ms);
+	GArray *candidates = find_candidates(r, q);
 
 	if (!candidates->len) {
 		g_array_free(candidates, TRUE);
 		return FESCUE_ENOTFOUND;
 	}
-	*host = pick(r, candidates, own_domain, now_ms)->host->host;
+	*host = pick(r, candidates, q)->host->host;
 	g_array_free(candidates, TRUE);
 	return FESCUE_OK;
 }
@@ -282,6 +383,7 @@
 	struct host_evidence *e = get_evidence(r, host, now_ms);
 
 	e->outstanding++;
+	e->sent_since++;
 	e->latency_us = aged_latency(r, e, now_ms);
 	e->last_used_ms = now_ms;
 }
@@ -297,9 +399,20 @@
 	e->failures = 0;
 }
 
+static void note_result(struct router *r, struct host_evidence *e, int failed,
+			uint64_t now_ms)
+{
+	e->failing = aged_failing(r, e, now_ms) * (1 - FAILURE_WEIGHT) +
+		     FAILURE_WEIGHT * failed;
+	e->failing_at_ms = now_ms;
+}
+
 static void record_failure(struct router *r, struct host_evidence *e,
 			   uint64_t now_ms)
 {
+	note_result(r, e, 1, now_ms);
+	if (r->settings.policy == ROUTER_COST)
+		return;
 	if (++e->failures >= r->settings.failures_to_eject)
 		eject(r, e, now_ms);
 }
@@ -322,9 +435,11 @@
 	if (load) {
 		e->load = *load;
 		e->load_at_ms = now_ms;
+		e->sent_since = 0;
 	}
 	switch (result) {
 	case ROUTER_ANSWERED:
+		note_result(r, e, 0, now_ms);
 		e->failures = 0;
 		e->ejections = 0;
 		e->latency_us +=
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -44,11 +44,24 @@
 	{
 		uint64_t host = 0;
 
-		if (router_choose(router, snapshot, service, domain,
-				  excluded.data(), excluded.size(), now_ms,
-				  &host))
-			return 0;
-		return host;
+		struct router_question q = {};
+
+		q.snapshot = snapshot;
+		q.service = service;
+		q.own_domain = domain;
+		q.excluded = excluded.data();
+		q.excluded_count = excluded.size();
+		q.kilobytes = kilobytes;
+		q.now_ms = now_ms;
+		return router_choose(router, &q, &host) ? 0 : host;
+	}
+	double kilobytes = 0;
+	/* One call that the host answers, reporting this load. */
+	void answer(uint64_t host, struct router_load load, uint64_t now_ms)
+	{
+		router_started(router, host, now_ms);
+		router_finished(router, host, ROUTER_ANSWERED, 1, &load,
+				now_ms);
 	}
 	void fail(uint64_t host, uint64_t now_ms)
 	{
@@ -73,7 +86,7 @@
 TEST(router, reported_load_ages)
 {
 	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "y", 2 } });
-	struct router_load full = { 2, 4, 2 };
+	struct router_load full = { 2, 4, 2, 0 };
 
 	router_started(f.router, 1, 1000);
 	router_finished(f.router, 1, ROUTER_REFUSED, 1, &full, 1000);
@@ -110,7 +123,8 @@
 TEST(router, host_that_refuses_with_room_is_ejected)
 {
 	fixture f({ { 1, "a", "x", 6 }, { 2, "a", "x", 6 } });
-	struct router_load room = { 1, 0, 6 }, full = { 6, 2, 6 };
+	struct router_load room = { 1, 0, 6, 0 };
+	struct router_load full = { 6, 2, 6, 0 };
 
 	for (int i = 0; i < 9; i++) {
 		router_started(f.router, 2, 1000);
@@ -205,6 +219,53 @@
 	EXPECT_GT(late[2], late[1] / 2);
 }
 
+/* The bytes of a call decide how long it rather waits in its own domain. */
+TEST(router, large_calls_wait_in_their_domain)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
+
+	f.answer(1, { 4, 2, 4, 100000 }, 1000);
+	f.answer(2, { 0, 0, 4, 100000 }, 1000);
+	f.kilobytes = 0.5;
+	EXPECT_EQ(f.choose("x", 1000), 2u);
+	f.kilobytes = 10;
+	EXPECT_EQ(f.choose("x", 1000), 1u);
+	f.answer(1, { 4, 30, 4, 100000 }, 1000);
+	EXPECT_EQ(f.choose("x", 1000), 2u);
+}
+
+/* A backend server that fails a part of its calls gets fewer, not none. */
+TEST(router, failing_share_is_weighed_against_the_wait)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
+	struct router_load idle = { 0, 0, 4, 100000 };
+
+	for (int i = 0; i < 30; i++) {
+		f.answer(2, idle, 1000);
+		if (i % 2)
+			f.fail(1, 1000);
+		else
+			f.answer(1, idle, 1000);
+	}
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1000), 2u);
+	f.answer(2, { 4, 12, 4, 100000 }, 1000);
+	EXPECT_EQ(f.choose("x", 1000), 1u);
+	/* Failures are forgotten. */
+	EXPECT_EQ(f.choose("x", 1000, { 2 }), 1u);
+}
+
+TEST(router, unreachable_host_is_left_out_at_once)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
+
+	router_started(f.router, 1, 1000);
+	router_finished(f.router, 1, ROUTER_UNREACHABLE, 1, nullptr, 1000);
+	for (int i = 0; i < 50; i++)
+		EXPECT_EQ(f.choose("x", 1100), 2u);
+	EXPECT_FALSE(router_is_ejected(f.router, 1, 2000));
+}
+
 /* Random events: calls are counted exactly, and a choice is always found
  * while a host is left.
  */
@@ -226,11 +287,11 @@
 			running.push_back(host);
 		} else {
 			size_t at = g_rand_int_range(random, 0, running.size());
-			struct router_load load = { 1, 0, 3 };
+			struct router_load load = { 1, 0, 3, 0 };
 
 			router_finished(f.router, running[at],
 					(enum router_result)g_rand_int_range(
-						random, 0, 4),
+						random, 0, 5),
 					100, &load, now);
 			running.erase(running.begin() + at);
 		}
