Queue nested calls first, judge lateness by the route's own time in a slot

Now nested calls go first, each route has its own estimate, and what cannot end in time any more is handed back.

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -3,11 +3,13 @@
  * are refused before anything ran.
  *
  * Urgent calls may take every slot; background calls leave a reserved share
- * free, yet get one grant in ten while they wait. Within a class, calls that
- * can still end in time go before those that are late already, then those of
- * lower rank, then the older ones. Queues are bounded, and a call whose
- * deadline cannot be met is refused at once. The module owns no socket and
- * reads no clock.
+ * free, yet get one grant in ten while they wait. Within a class go first
+ * the calls that running calls made, because slots are held until they end;
+ * then those that can still end in time before those that are late already;
+ * then lower ranks; then the earlier due. Queues are bounded. A call that
+ * cannot be done before its deadline is refused at once, by the time its
+ * kind takes in a slot, the work that goes before it and the share of the
+ * slots that lower ranks take. The module owns no socket and reads no clock.
  */
 #ifndef FESCUE_ADMISSION_H
 #define FESCUE_ADMISSION_H
@@ -39,6 +41,8 @@
 	uint64_t ticket; /* chosen by the caller of this module */
 	enum call_class call_class;
 	uint32_t rank; /* lower ones go first */
+	int nested; /* made by a call that holds a slot elsewhere */
+	uint32_t kind; /* calls of one kind take about as long */
 	uint64_t due_ms; /* worth less afterwards; 0: no such time */
 	uint64_t deadline_ms; /* absolute */
 	uint32_t queue; /* limit of its class */
@@ -59,8 +63,9 @@
 				       uint64_t now_ms,
 				       enum admission_reason *reason);
 
-/* A running call ended after service_us; its slot is free. */
-void admission_finish(struct admission *admission, uint64_t service_us);
+/* A running call of this kind ended after service_us; its slot is free. */
+void admission_finish(struct admission *admission, uint32_t kind,
+		      uint64_t service_us);
 
 /*
  * Take the next queued call that may run or whose deadline has passed.
@@ -76,7 +81,7 @@
 /* Mean time of a call in its slot, 0 before the first one ended. */
 uint32_t admission_service_us(const struct admission *admission);
 
-/* Expected time until a call that comes now would be done. */
+/* Expected time until the queue as it is now would be worked off. */
 uint32_t admission_wait_ms(const struct admission *admission);
 
 uint32_t admission_in_use(const struct admission *admission);
--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -88,6 +88,7 @@
 	struct route_part parts[RULES_PARTS_MAX];
 	uint32_t part_count; /* at least 1 */
 	struct contract contract;
+	uint32_t kind; /* identifies the route by method, host and prefix */
 	uint32_t line;
 	uint32_t service_column;
 	int has_deadline;
--- a/src/admission.c
+++ b/src/admission.c
@@ -4,8 +4,15 @@
 
 #include <assert.h>
 #include <glib.h>
-
-#define SERVICE_TIME_WEIGHT 0.1
+#include <math.h>
+
+#define SERVICE_TIME_WEIGHT 0.05
+#define KINDS_MAX 256 /* routes come and go with versions */
+#define RANKS 8 /* higher ones count as the highest */
+#define SHARE_HALF_LIFE_MS 1000.0 /* of the work that ranks were granted */
+#define SHARE_LEFT_MIN 0.1 /* even under a flood of lower ranks */
+/* Work times vary: below this part of the mean a call has no real chance. */
+#define CHANCE_SHARE 0.6
 #define BACKGROUND_GRANT_PERIOD 10
 
 struct admission {
@@ -14,6 +21,9 @@
 	uint32_t in_use;
 	int draining;
 	double service_us; /* moving average of the time in the slot */
+	GHashTable *kinds; /* kind -> double, the same for its calls */
+	double granted_us[RANKS]; /* work granted lately, decaying */
+	uint64_t granted_at_ms;
 	uint32_t grants; /* since a waiting background call last got a slot */
 	GQueue queues[CALL_CLASS_COUNT]; /* struct admission_call */
 };
@@ -23,6 +33,7 @@
 	struct admission *a = g_new0(struct admission, 1);
 
 	a->policy = policy;
+	a->kinds = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		g_queue_init(&a->queues[i]);
 	return a;
@@ -34,6 +45,7 @@
 		return;
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		g_queue_clear_full(&a->queues[i], g_free);
+	g_hash_table_destroy(a->kinds);
 	g_free(a);
 }
 
@@ -65,17 +77,95 @@
 	return MAX(a->slots - reserved, 1);
 }
 
+/* Time in a slot of a call of this kind. */
+static double kind_us(const struct admission *a, uint32_t kind)
+{
+	const double *us =
+		g_hash_table_lookup(a->kinds, GUINT_TO_POINTER(kind));
+
+	return us ? *us : a->service_us;
+}
+
+static uint32_t rank_index(const struct admission_call *call)
+{
+	return call->nested ? 0 : MIN(call->rank, RANKS - 1);
+}
+
+static void age_grants(struct admission *a, uint64_t now_ms)
+{
+	double age = (double)(now_ms - a->granted_at_ms);
+	double factor = exp2(-age / SHARE_HALF_LIFE_MS);
+
+	if (now_ms <= a->granted_at_ms)
+		return;
+	for (int i = 0; i < RANKS; i++)
+		a->granted_us[i] *= factor;
+	a->granted_at_ms = now_ms;
+}
+
+static void note_grant(struct admission *a, const struct admission_call *call,
+		       uint64_t now_ms)
+{
+	age_grants(a, now_ms);
+	a->granted_us[rank_index(call)] += kind_us(a, call->kind);
+}
+
+/* Share of the slots that is left to the call by lower ranks. */
+static double share_left(const struct admission *a,
+			 const struct admission_call *call, double limit)
+{
+	/* A steady flow of w us each ms adds up to w * half-life / ln 2. */
+	double full_us = limit * 1000 * SHARE_HALF_LIFE_MS / M_LN2;
+	double before_us = 0;
+
+	for (uint32_t i = 0; i < rank_index(call); i++)
+		before_us += a->granted_us[i];
+	return MAX(1 - before_us / full_us, SHARE_LEFT_MIN);
+}
+
+static int is_late(const struct admission *a, const struct admission_call *call,
+		   uint64_t now_ms)
+{
+	return call->due_ms &&
+	       now_ms + (uint64_t)(kind_us(a, call->kind) / 1000) >
+		       call->due_ms;
+}
+
+/* Which of two waiting calls goes first; x came before y if they are equal. */
+static int goes_before(const struct admission *a,
+		       const struct admission_call *x,
+		       const struct admission_call *y, uint64_t now_ms)
+{
+	int late_x, late_y;
+
+	if (x->nested != y->nested)
+		return x->nested;
+	late_x = is_late(a, x, now_ms);
+	late_y = is_late(a, y, now_ms);
+	if (late_x != late_y)
+		return late_y;
+	if (x->rank != y->rank)
+		return x->rank < y->rank;
+	return x->due_ms <= y->due_ms;
+}
+
 /* Expected milliseconds until a call that joins the queue now is done. */
 static uint64_t expected_ms(const struct admission *a,
-			    const struct admission_call *call)
+			    const struct admission_call *call, uint64_t now_ms)
 {
-	uint32_t ahead = queue_length(a, CALL_CLASS_URGENT);
-	double us;
-
-	if (call->call_class == CALL_CLASS_BACKGROUND)
-		ahead += queue_length(a, CALL_CLASS_BACKGROUND);
-	us = a->service_us * (1.0 + (ahead + 1.0) / class_limit(a, call));
-	return (uint64_t)(us / 1000);
+	double limit = class_limit(a, call);
+	double ahead_us = a->service_us; /* until a slot is free */
+
+	for (int i = 0; i <= (int)call->call_class; i++)
+		for (GList *l = a->queues[i].head; l; l = l->next)
+			if (i < (int)call->call_class ||
+			    goes_before(a, l->data, call, now_ms))
+				ahead_us += kind_us(
+					a, ((struct admission_call *)l->data)
+						   ->kind);
+	return (uint64_t)((kind_us(a, call->kind) +
+			   ahead_us / (limit * share_left(a, call, limit))) /
+			  1000);
 }
 
 static enum admission_reason refusal(const struct admission *a,
@@ -99,7 +189,7 @@
 		return ADMISSION_OK;
 	if (queue_length(a, call->call_class) >= call->queue)
 		return ADMISSION_QUEUE_FULL;
-	if (now_ms + expected_ms(a, call) > call->deadline_ms)
+	if (now_ms + expected_ms(a, call, now_ms) > call->deadline_ms)
 		return ADMISSION_DEADLINE;
 	return ADMISSION_OK;
 }
@@ -127,6 +217,7 @@
 		return ADMISSION_REFUSED;
 	if (first && a->in_use < class_limit(a, call)) {
 		a->in_use++;
+		note_grant(a, call, now_ms);
 		return ADMISSION_RUN;
 	}
 	*reason = queue_refusal(a, call, now_ms);
@@ -136,7 +227,23 @@
 	return ADMISSION_QUEUED;
 }
 
-void admission_finish(struct admission *a, uint64_t service_us)
+static void note_kind(struct admission *a, uint32_t kind, double us)
+{
+	gpointer key = GUINT_TO_POINTER(kind);
+	double *mean = g_hash_table_lookup(a->kinds, key);
+
+	if (mean) {
+		*mean += SERVICE_TIME_WEIGHT * (us - *mean);
+		return;
+	}
+	if (g_hash_table_size(a->kinds) >= KINDS_MAX)
+		g_hash_table_remove_all(a->kinds);
+	mean = g_new(double, 1);
+	*mean = us;
+	g_hash_table_insert(a->kinds, key, mean);
+}
+
+void admission_finish(struct admission *a, uint32_t kind, uint64_t service_us)
 {
 	assert(a->in_use > 0);
 	a->in_use--;
@@ -144,6 +251,18 @@
 		a->service_us = (double)service_us;
 	a->service_us +=
 		SERVICE_TIME_WEIGHT * ((double)service_us - a->service_us);
+	note_kind(a, kind, (double)service_us);
+}
+
+/* Can the call still be done before its deadline if it starts now? */
+static int has_chance(const struct admission *a,
+		      const struct admission_call *call, uint64_t now_ms)
+{
+	double needed_ms = 0;
+
+	if (a->policy != ADMISSION_FIFO)
+		needed_ms = kind_us(a, call->kind) / 1000 * CHANCE_SHARE;
+	return now_ms + (uint64_t)needed_ms < call->deadline_ms;
 }
 
 static int pop_expired(struct admission *a, uint64_t now_ms, uint64_t *ticket)
@@ -152,7 +271,7 @@
 		for (GList *l = a->queues[i].head; l; l = l->next) {
 			struct admission_call *call = l->data;
 
-			if (now_ms < call->deadline_ms)
+			if (has_chance(a, call, now_ms))
 				continue;
 			*ticket = call->ticket;
 			g_free(call);
@@ -163,23 +282,6 @@
 	return 0;
 }
 
-static int is_late(const struct admission *a, const struct admission_call *call,
-		   uint64_t now_ms)
-{
-	return call->due_ms &&
-	       now_ms + (uint64_t)(a->service_us / 1000) > call->due_ms;
-}
-
-/* Which of two waiting calls goes first; the queue is in order of arrival. */
-static int goes_before(const struct admission *a,
-		       const struct admission_call *x,
-		       const struct admission_call *y, uint64_t now_ms)
-{
-	int late_x = is_late(a, x, now_ms), late_y = is_late(a, y, now_ms);
-
-	return late_x != late_y ? late_x < late_y : x->rank < y->rank;
-}
-
 static GList *best_waiting(struct admission *a, enum call_class c,
 			   uint64_t now_ms)
 {
@@ -187,8 +289,8 @@
 
 	if (a->policy == ADMISSION_FIFO)
 		return best;
-	for (GList *l = best; l; l = l->next)
-		if (goes_before(a, l->data, best->data, now_ms))
+	for (GList *l = best ? best->next : NULL; l; l = l->next)
+		if (!goes_before(a, best->data, l->data, now_ms))
 			best = l;
 	return best;
 }
@@ -204,6 +306,7 @@
 	if (a->in_use >= (floor ? a->slots : class_limit(a, call)))
 		return 0;
 	*ticket = call->ticket;
+	note_grant(a, call, now_ms);
 	g_free(call);
 	g_queue_delete_link(&a->queues[c], best);
 	a->in_use++;
@@ -257,10 +360,13 @@
 
 uint32_t admission_wait_ms(const struct admission *a)
 {
-	double queued = admission_queued(a);
+	double us = a->service_us;
 
-	return (uint32_t)(a->service_us / 1000 * (queued + 1) /
-			  MAX(a->slots, 1));
+	for (int i = 0; i < CALL_CLASS_COUNT; i++)
+		for (GList *l = a->queues[i].head; l; l = l->next)
+			us += kind_us(
+				a, ((struct admission_call *)l->data)->kind);
+	return (uint32_t)(us / 1000 / MAX(a->slots, 1));
 }
 
 uint32_t admission_in_use(const struct admission *a)
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -139,7 +139,7 @@
 		break;
 	case SERVING_RUNNING:
 	case SERVING_REPORTING:
-		admission_finish(b->admission, spent_us);
+		admission_finish(b->admission, s->request->kind, spent_us);
 		histogram_record(&b->links->counters->service_us[call_class],
 				 spent_us);
 		break;
@@ -385,6 +385,8 @@
 		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
 						    CALL_CLASS_URGENT,
 		.rank = request->rank,
+		.nested = request->nested,
+		.kind = request->kind,
 		.due_ms = now + request->latency_ms,
 		.deadline_ms = now + request->deadline_ms,
 		.queue = request->queue,
--- a/src/rules.c
+++ b/src/rules.c
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 struct parser {
 	struct rules *rules;
@@ -390,6 +391,7 @@
 		g_free(route_key);
 		return;
 	}
+	rule.kind = (uint32_t)XXH64(route_key, strlen(route_key), 0);
 	g_hash_table_insert(p->route_keys, route_key,
 			    GUINT_TO_POINTER(p->line));
 	slash = memchr(fields[2].text, '/', fields[2].len);
--- a/test/test_admission.cc
+++ b/test/test_admission.cc
@@ -60,11 +60,11 @@
 	f.offer(1, CALL_CLASS_URGENT);
 	f.offer(2, CALL_CLASS_BACKGROUND);
 	f.offer(3, CALL_CLASS_URGENT);
-	admission_finish(f.a, 1000);
+	admission_finish(f.a, 0, 1000);
 	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
 	EXPECT_EQ(ticket, 3u);
 	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_QUEUED);
-	admission_finish(f.a, 1000);
+	admission_finish(f.a, 0, 1000);
 	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
 	EXPECT_EQ(ticket, 2u);
 }
@@ -85,7 +85,7 @@
 	fixture f(1);
 
 	f.offer(1, CALL_CLASS_URGENT);
-	admission_finish(f.a, 100000);
+	admission_finish(f.a, 0, 100000);
 	f.offer(2, CALL_CLASS_URGENT);
 	EXPECT_EQ(f.offer(3, CALL_CLASS_URGENT, 0, 150), ADMISSION_REFUSED);
 	EXPECT_EQ(f.reason, ADMISSION_DEADLINE);
@@ -128,7 +128,7 @@
 	for (uint64_t i = 0; i < 200; i++) {
 		f.offer(1000 + i, CALL_CLASS_BACKGROUND, 0, 1000, 1);
 		f.offer(2000 + i, CALL_CLASS_URGENT, 0, 1000, 2);
-		admission_finish(f.a, 1);
+		admission_finish(f.a, 0, 1);
 		ASSERT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_RUN);
 		background += ticket < 2000;
 	}
@@ -145,7 +145,7 @@
 	f.offer(2, CALL_CLASS_URGENT);
 	EXPECT_EQ(admission_cancel(f.a, 2), FESCUE_OK);
 	EXPECT_EQ(admission_cancel(f.a, 2), FESCUE_ENOTFOUND);
-	admission_finish(f.a, 1);
+	admission_finish(f.a, 0, 1);
 	EXPECT_EQ(admission_next(f.a, 0, &ticket), ADMISSION_QUEUED);
 }
 
@@ -175,7 +175,7 @@
 			break;
 		case 1:
 			if (running) {
-				admission_finish(f.a, 10000);
+				admission_finish(f.a, 0, 10000);
 				running--;
 			}
 			break;
