Fetch versions from peers at once while the store is lost

Now such a host probes a peer every 300 ms and fetches at once; retries towards the store are at most 1 s apart. Test hosts_without_the_store_get_changes_from_peers failed before.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -77,6 +77,12 @@
 			      const char *why, uint64_t now_ms,
 			      struct outbox *outbox);
 
+/*
+ * Does the own source answer? While it does not, what peers have is fetched
+ * at once.
+ */
+void distribution_set_source(struct distribution *distribution, int answers);
+
 /* A peer has this version in force, as its gossip says. */
 void distribution_peer_version(struct distribution *distribution, uint64_t peer,
 			       uint64_t version, uint64_t hash, uint64_t now_ms,
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -11,7 +11,10 @@
 #define RENDEZVOUS_TTL_MS 10000
 #define RENDEZVOUS_RENEW_MS 3000
 #define RETRY_MIN_MS 250
-#define RETRY_MAX_MS 5000
+/* Half of the time in which a change must be in force. */
+#define RETRY_MAX_MS 1000
+/* A host without the store learns of versions by probing peers this often. */
+#define PROBE_WITHOUT_STORE_MS 300
 #define ASK_PEERS_MS 1000
 #define ASK_PEERS_MAX 32 /* a second: within the control budget */
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
@@ -39,6 +42,7 @@
 	struct floor floor;
 	uint64_t role_at_ms; /* no relay role before peers could answer */
 	int store_up;
+	uint64_t probe_at_ms;
 	struct store_call *boot_call;
 	int watching;
 	struct store_call *watch_call;
@@ -60,6 +64,7 @@
 	if (up != b->store_up)
 		log_state("store is %s", up ? "answering" : "unreachable");
 	b->store_up = up;
+	distribution_set_source(b->node->distribution, up);
 }
 
 static uint32_t jitter(struct bootstrap *b, uint32_t ms)
@@ -375,10 +380,20 @@
 						       on_renewed, b);
 }
 
+/* Peers may reach the store that this host cannot. */
+static void probe_without_store(struct bootstrap *b, uint64_t now_ms)
+{
+	if (b->store_up || now_ms < b->probe_at_ms)
+		return;
+	b->probe_at_ms = now_ms + PROBE_WITHOUT_STORE_MS;
+	membership_probe_one(b->node->membership, &b->node->outbox);
+}
+
 void bootstrap_tick(struct bootstrap *b)
 {
 	uint64_t now_ms = node_now_ms(b->node);
 
+	probe_without_store(b, now_ms);
 	boot_tick(b, now_ms);
 	watch_tick(b, now_ms);
 	rendezvous_tick(b, now_ms);
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -41,6 +41,7 @@
 	uint64_t pushed_version; /* this domain's tree is under way */
 	uint64_t fetch_from;
 	uint64_t fetch_started_ms;
+	int source_lost;
 	uint64_t behind_peer; /* has a higher version than this host */
 	uint64_t behind_version;
 	uint64_t behind_since_ms;
@@ -304,7 +305,7 @@
 	if (d->fetch_from &&
 	    now_ms < d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		return;
-	if (!d->settings.fetch_delay_ms) {
+	if (!d->settings.fetch_delay_ms || d->source_lost) {
 		send_fetch(d, peer, now_ms, 0, outbox);
 	} else if (!d->behind_peer) {
 		d->behind_peer = peer;
@@ -313,13 +314,19 @@
 	}
 }
 
+void distribution_set_source(struct distribution *d, int answers)
+{
+	d->source_lost = !answers;
+}
+
 /* The own watch has had its time to show what a peer has. */
 static void review_behind(struct distribution *d, uint64_t now_ms,
 			  struct outbox *outbox)
 {
 	uint64_t peer = d->behind_peer;
 
-	if (!peer || now_ms < d->behind_since_ms + d->settings.fetch_delay_ms)
+	if (!peer || (!d->source_lost &&
+		      now_ms < d->behind_since_ms + d->settings.fetch_delay_ms))
 		return;
 	d->behind_peer = 0;
 	if (d->behind_version > newest(d)->version)
--- a/src/membership.c
+++ b/src/membership.c
@@ -579,6 +579,14 @@
 	}
 }
 
+void membership_probe_one(struct membership *m, struct outbox *outbox)
+{
+	struct member *member = random_member(m, 1);
+
+	if (member)
+		send_ping(m, member->host.address, ++m->sequence, outbox);
+}
+
 void membership_assert_valid(const struct membership *m)
 {
 	member_table_assert_valid(&m->table);
--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -47,8 +47,10 @@
 	struct distribution *distribution = nullptr;
 	struct floor floor = {};
 	bool watching = false;
+	bool store_refuses = false; /* this host alone */
 	bool booted = false;
 	uint64_t boot_at = 0, watch_at = 0, record_at = 0, probe_at = 0;
+	uint64_t repair_at = 0; /* when to ask a peer in the store's place */
 	uint64_t watch_after = 0;
 	uint64_t version = 0; /* in force in this life */
 	uint64_t served = 0; /* highest at this address in any life */
@@ -289,7 +291,14 @@
 	}
 	void watch(sim_node &n, struct outbox &outbox)
 	{
-		if (!n.watching || !n.booted || !store.up || now < n.watch_at ||
+		bool lost = !store.up || n.store_refuses;
+
+		distribution_set_source(n.distribution, !lost);
+		if (lost && now >= n.repair_at) {
+			n.repair_at = now + 300;
+			membership_probe_one(n.membership, &outbox);
+		}
+		if (!n.watching || !n.booted || lost || now < n.watch_at ||
 		    store.revision <= n.watch_after)
 			return;
 		n.watch_at = now + draw(0, 20);
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -63,6 +63,31 @@
 	}
 }
 
+/*
+ * Every host watches, the store turns a third of them away and packets are
+ * lost: these still have a change within two seconds, from their peers.
+ */
+TEST(distribution, hosts_without_the_store_get_changes_from_peers)
+{
+	for (int seed = 0; seed < 50; seed++) {
+		fleet_sim sim(900 + seed, 9, 3);
+
+		sim.settings.mode = DISTRIBUTION_POLL;
+		sim.settings.fetch_delay_ms = 900;
+		start_all(sim);
+		for (size_t i = 0; i < 3; i++)
+			sim.nodes[i]->store_refuses = true;
+		sim.loss = 0.05;
+		for (int change = 0; change < 4; change++) {
+			uint64_t version = sim.accept();
+
+			sim.run(2000);
+			EXPECT_EQ(count_at(sim, version), 9u)
+				<< "seed " << seed << " change " << change;
+		}
+	}
+}
+
 TEST(distribution, relay_frozen_before_a_change)
 {
 	for (int seed = 0; seed < 50; seed++) {
