Copy a caller's request before its connection is read on

Cause: h2o's request points into the connection's input buffer; while a call waits, the node reads on to notice that the caller leaves, and the buffer may move. Ruled out: the link between nodes, its frames are checked.

--- a/src/call_request.c
+++ b/src/call_request.c
@@ -51,66 +51,83 @@
 	       text_is(name, "x-fescue-depth");
 }
 
-static void add(struct call_headers *headers, const char *name,
+static void add(GPtrArray *headers, const char *name,
 		const char *value)
 {
 	struct http_text n = { name, strlen(name) };
 	struct http_text v = { value, strlen(value) };
 
-	g_ptr_array_add(headers->list, header_create(n, v));
+	g_ptr_array_add(headers, header_create(n, v));
 }
 
-void call_headers_collect(struct call_headers *headers,
-			  const struct http_exchange *exchange,
-			  const struct header_names *names, const char *service,
-			  uint32_t depth)
+static void copy_headers(GPtrArray *headers,
+			 const struct http_exchange *exchange,
+			 const struct header_names *names)
 {
 	size_t n = http_exchange_header_count(exchange);
 	struct http_text name, value;
-	char number[16];
 
-	headers->list = g_ptr_array_new_with_free_func(header_free);
 	for (size_t i = 0; i < n; i++) {
 		http_exchange_header_at(exchange, i, &name, &value);
 		if (!is_hop_by_hop(name) && !is_set_by_node(name, names))
-			g_ptr_array_add(headers->list,
-					header_create(name, value));
+			g_ptr_array_add(headers, header_create(name, value));
 	}
+}
+
+static char *text_dup(struct http_text text)
+{
+	return g_strndup(text.bytes ? text.bytes : "", text.size);
+}
+
+void call_origin_copy(struct call_origin *origin,
+		      const struct http_exchange *exchange,
+		      const struct header_names *names, const char *service,
+		      uint32_t depth)
+{
+	struct http_text body = http_exchange_body(exchange);
+	char number[16];
+
+	origin->method = text_dup(http_exchange_method(exchange));
+	origin->host = text_dup(http_exchange_host(exchange));
+	origin->path = text_dup(http_exchange_path(exchange));
+	origin->body = body.size ? g_memdup2(body.bytes, body.size) : NULL;
+	origin->body_size = body.size;
+	origin->headers = g_ptr_array_new_with_free_func(header_free);
+	copy_headers(origin->headers, exchange, names);
 	if (names->caller_service && *service)
-		add(headers, names->caller_service, service);
+		add(origin->headers, names->caller_service, service);
 	if (names->outcome) {
 		g_snprintf(number, sizeof(number), "%u", depth + 1);
-		add(headers, "x-fescue-depth", number);
+		add(origin->headers, "x-fescue-depth", number);
 	}
 }
 
-void call_headers_clear(struct call_headers *headers)
+void call_origin_clear(struct call_origin *origin)
 {
-	if (headers->list)
-		g_ptr_array_free(headers->list, TRUE);
-	headers->list = NULL;
+	g_free(origin->method);
+	g_free(origin->host);
+	g_free(origin->path);
+	g_free(origin->body);
+	if (origin->headers)
+		g_ptr_array_free(origin->headers, TRUE);
+	memset(origin, 0, sizeof(*origin));
 }
 
-static char *text_dup(struct http_text text)
-{
-	return g_strndup(text.bytes ? text.bytes : "", text.size);
-}
-
-Fescue__Packet *call_request_create(const struct http_exchange *exchange,
-				    const struct call_headers *headers)
+Fescue__Packet *call_request_create(const struct call_origin *origin)
 {
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_CALL_REQUEST);
 	Fescue__CallRequest *request = packet->call_request;
-	struct http_text body = http_exchange_body(exchange);
-
-	request->method = text_dup(http_exchange_method(exchange));
-	request->path = text_dup(http_exchange_path(exchange));
-	request->host = text_dup(http_exchange_host(exchange));
-	packet_set_bytes(&request->body, body.bytes, body.size);
-	request->headers = g_new(Fescue__Header *, headers->list->len + 1);
-	for (guint i = 0; i < headers->list->len; i++) {
-		const Fescue__Header *h = g_ptr_array_index(headers->list, i);
+	guint n = origin->headers->len;
+
+	packet_set_string(&request->method, origin->method);
+	packet_set_string(&request->path, origin->path);
+	packet_set_string(&request->host, origin->host);
+	packet_set_bytes(&request->body, origin->body, origin->body_size);
+	request->headers = g_new(Fescue__Header *, n + 1);
+	for (guint i = 0; i < n; i++) {
+		const Fescue__Header *h =
+			g_ptr_array_index(origin->headers, i);
 		struct http_text name = { h->name, strlen(h->name) };
 		struct http_text value = { h->value, strlen(h->value) };
 
--- a/src/call_request.h
+++ b/src/call_request.h
@@ -9,24 +9,32 @@
 #include "interface.h"
 #include "packet.h"
 
-/* Headers to pass on, collected once for all attempts of a call. */
-struct call_headers {
-	GPtrArray *list; /* Fescue__Header */
+/*
+ * A copy of the caller's request for all attempts of a call. The exchange's
+ * own texts are good only until more bytes are read on its connection.
+ */
+struct call_origin {
+	char *method;
+	char *host;
+	char *path;
+	GPtrArray *headers; /* Fescue__Header, to pass on */
+	void *body;
+	size_t body_size;
 };
 
 /*
- * Take the headers that a backend server should see: not those that concern
- * one connection, and what this node sets itself in place of what was sent.
- * service is that of the host where the call began; "": not told.
+ * Copy the request with the headers that a backend server should see: not
+ * those that concern one connection, and what this node sets itself in place
+ * of what was sent. service is that of the host where the call began; "": not
+ * told.
  */
-void call_headers_collect(struct call_headers *headers,
-			  const struct http_exchange *exchange,
-			  const struct header_names *names, const char *service,
-			  uint32_t depth);
-void call_headers_clear(struct call_headers *headers);
+void call_origin_copy(struct call_origin *origin,
+		      const struct http_exchange *exchange,
+		      const struct header_names *names, const char *service,
+		      uint32_t depth);
+void call_origin_clear(struct call_origin *origin);
 
 /* A CallRequest with the caller's request; limits and times are left open. */
-Fescue__Packet *call_request_create(const struct http_exchange *exchange,
-				    const struct call_headers *headers);
+Fescue__Packet *call_request_create(const struct call_origin *origin);
 
 #endif
--- a/src/caller.c
+++ b/src/caller.c
@@ -35,7 +35,7 @@
 	uint32_t part; /* of the route, which serves it */
 	struct contract contract;
 	int nested; /* made by a call that runs on this host */
-	struct call_headers headers; /* passed on */
+	struct call_origin origin;
 	uint64_t entered_ms;
 	uint64_t deadline_ms;
 	uint64_t entered_us;
@@ -79,7 +79,7 @@
 	struct call *c = handle->data;
 
 	snapshot_unref(c->snapshot);
-	call_headers_clear(&c->headers);
+	call_origin_clear(&c->origin);
 	if (c->fallback)
 		fescue__call_answer__free_unpacked(c->fallback, NULL);
 	g_free(c);
@@ -184,7 +184,7 @@
 static Fescue__Packet *create_request(const struct call *c)
 {
 	struct service_handle service;
-	Fescue__Packet *packet = call_request_create(c->exchange, &c->headers);
+	Fescue__Packet *packet = call_request_create(&c->origin);
 	Fescue__CallRequest *request = packet->call_request;
 	const struct service_rule *rule;
 
@@ -514,8 +514,8 @@
 	c->route = route;
 	c->part = draw_part(t, rule);
 	c->contract = rule->contract;
-	call_headers_collect(&c->headers, exchange, t->links->headers,
-			     t->settings.service, depth);
+	call_origin_copy(&c->origin, exchange, t->links->headers,
+			 t->settings.service, depth);
 	/* Callers are elsewhere: from this host only its backend server calls. */
 	c->nested = http_exchange_peer_ip(exchange) ==
 		    address_from_key(t->links->own).ip;
--- /dev/null
+++ b/test/test_http_client.cc
@@ -0,0 +1,313 @@
+/*
+ * The HTTP client against a peer that misbehaves: answers without a length,
+ * cut short, late, doubled, or on connections that it has given up.
+ */
+#include "support.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+extern "C" {
+#include "call_request.h"
+#include "fescue/error.h"
+#include "http_client.h"
+#include "interface.h"
+}
+
+namespace
+{
+
+/* What the peer does once it has read a request. */
+struct step {
+	std::string bytes;
+	enum { KEEP, CLOSE, RESET } end;
+};
+
+/* A peer that plays one step a request, each connection going on. */
+struct scripted_peer {
+	int listener;
+	struct address address = { 0x7f000001, 0 };
+	std::vector<step> steps;
+	int connections = 0;
+	std::thread thread;
+
+	explicit scripted_peer(std::vector<step> s) : steps(std::move(s))
+	{
+		struct sockaddr_in in = {};
+		socklen_t len = sizeof(in);
+
+		in.sin_family = AF_INET;
+		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		bind(listener, (struct sockaddr *)&in, sizeof(in));
+		listen(listener, 8);
+		getsockname(listener, (struct sockaddr *)&in, &len);
+		address.port = ntohs(in.sin_port);
+		thread = std::thread([this] { play(); });
+	}
+	~scripted_peer()
+	{
+		thread.join();
+		close(listener);
+	}
+	static bool read_request(int fd)
+	{
+		std::string in;
+		char buf[4096];
+		ssize_t n;
+
+		while (in.find("\r\n\r\n") == std::string::npos) {
+			n = read(fd, buf, sizeof(buf));
+			if (n <= 0)
+				return false;
+			in.append(buf, (size_t)n);
+		}
+		return true;
+	}
+	void play()
+	{
+		int fd = -1;
+
+		for (const step &s : steps) {
+			while (fd < 0 || !read_request(fd)) {
+				if (fd >= 0)
+					close(fd);
+				fd = accept(listener, nullptr, nullptr);
+				connections++;
+			}
+			EXPECT_EQ(write(fd, s.bytes.data(), s.bytes.size()),
+				  (ssize_t)s.bytes.size());
+			if (s.end == step::KEEP)
+				continue;
+			if (s.end == step::RESET) {
+				struct linger now = { 1, 0 };
+
+				setsockopt(fd, SOL_SOCKET, SO_LINGER, &now,
+					   sizeof(now));
+			}
+			close(fd);
+			fd = -1;
+		}
+		if (fd >= 0)
+			close(fd);
+	}
+};
+
+struct answer {
+	int done = 0, error = 0, status = 0, reused = 0;
+	std::string body;
+};
+
+struct client {
+	uv_loop_t *loop = uv_default_loop();
+	struct http_pool *pool;
+
+	explicit client(struct address address)
+	{
+		signal(SIGPIPE, SIG_IGN);
+		pool = http_pool_create(loop, address, 2);
+	}
+	~client()
+	{
+		http_pool_release(pool);
+		uv_run(loop, UV_RUN_DEFAULT);
+	}
+	static void on_done(void *data, const struct http_result *result)
+	{
+		struct answer *a = (struct answer *)data;
+
+		a->done++;
+		a->error = result->error;
+		a->status = result->status;
+		a->reused = result->reused;
+		a->body.assign(result->body, result->body_size);
+	}
+	struct answer get(const char *id = "1")
+	{
+		struct answer a;
+		struct http_header header = { "x-id", id };
+		struct http_request request = {};
+
+		request.method = "GET";
+		request.path = "/";
+		request.headers = &header;
+		request.header_count = 1;
+		request.echo_name = "x-id";
+		request.echo = id;
+		request.timeout_ms = 2000;
+		http_pool_send(pool, &request, on_done, &a);
+		while (!a.done)
+			uv_run(loop, UV_RUN_ONCE);
+		return a;
+	}
+};
+
+std::string sized(const char *id, const std::string &body)
+{
+	return std::string("HTTP/1.1 200 OK\r\nx-id: ") + id +
+	       "\r\ncontent-length: " + std::to_string(body.size()) +
+	       "\r\n\r\n" + body;
+}
+
+const char unsized[] = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+
+TEST(http_client, answer_without_length_ends_with_its_connection)
+{
+	scripted_peer peer({ { unsized + std::string("whole"), step::CLOSE } });
+	client c(peer.address);
+	struct answer a = c.get();
+
+	EXPECT_EQ(a.error, FESCUE_OK);
+	EXPECT_EQ(a.body, "whole");
+}
+
+/* The bytes and the reset arrive together, so that one poll shows both. */
+TEST(http_client, answer_without_length_that_is_reset_is_not_whole)
+{
+	for (int i = 0; i < 20; i++) {
+		scripted_peer peer(
+			{ { unsized + std::string("part"), step::RESET } });
+		client c(peer.address);
+
+		EXPECT_EQ(c.get().error, FESCUE_EPARTIAL);
+	}
+}
+
+TEST(http_client, truncated_answer_is_not_whole)
+{
+	scripted_peer peer({ { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab",
+			       step::CLOSE } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get().error, FESCUE_EPARTIAL);
+}
+
+TEST(http_client, bytes_that_are_no_answer)
+{
+	scripted_peer peer({ { "\x16\x03garbage\r\n\r\n", step::KEEP } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get().error, FESCUE_EPARTIAL);
+}
+
+/* An answer to an earlier request comes first: it is skipped by its id. */
+TEST(http_client, answer_to_another_request_is_skipped)
+{
+	scripted_peer peer(
+		{ { sized("0", "late") + sized("1", "mine"), step::KEEP },
+		  { sized("2", "next"), step::KEEP } });
+	client c(peer.address);
+	struct answer a = c.get("1");
+
+	EXPECT_EQ(a.body, "mine");
+	a = c.get("2");
+	EXPECT_EQ(a.body, "next");
+	EXPECT_FALSE(a.reused);
+}
+
+TEST(http_client, connection_with_bytes_left_over_is_not_used_again)
+{
+	scripted_peer peer({ { sized("1", "mine") + "extra", step::KEEP },
+			     { sized("2", "next"), step::KEEP } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get("1").body, "mine");
+	EXPECT_FALSE(c.get("2").reused);
+}
+
+TEST(http_client, good_connection_is_used_again)
+{
+	scripted_peer peer({ { sized("1", "one"), step::KEEP },
+			     { sized("2", "two"), step::KEEP } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get("1").body, "one");
+	EXPECT_TRUE(c.get("2").reused);
+	EXPECT_EQ(http_pool_opened(c.pool), 1u);
+}
+
+/* The end of an idle connection is seen before it is chosen again. */
+TEST(http_client, idle_connection_that_ended_is_not_used)
+{
+	scripted_peer peer({ { sized("1", "one"), step::CLOSE },
+			     { sized("2", "two"), step::KEEP } });
+	client c(peer.address);
+	struct answer a;
+
+	EXPECT_EQ(c.get("1").body, "one");
+	usleep(20000);
+	uv_run(c.loop, UV_RUN_NOWAIT);
+	a = c.get("2");
+	EXPECT_EQ(a.body, "two");
+	EXPECT_FALSE(a.reused);
+}
+
+struct held {
+	struct http_exchange *exchange = nullptr;
+	struct call_origin origin = {};
+	int gone = 0;
+};
+
+void on_gone(void *data)
+{
+	((struct held *)data)->gone = 1;
+}
+
+void hold(void *data, struct http_exchange *exchange)
+{
+	struct held *h = (struct held *)data;
+
+	h->exchange = exchange;
+	call_origin_copy(&h->origin, exchange,
+			 interface_headers(INTERFACE_PLATFORM), "mine", 0);
+	http_exchange_on_close(exchange, on_gone, h);
+}
+
+/*
+ * Bytes that come while a request waits move the server's buffer; a later
+ * attempt must still send the body that the caller sent.
+ */
+TEST(http_client, request_of_a_waiting_call_stays_as_it_was)
+{
+	uv_loop_t *loop = uv_default_loop();
+	struct address address = { 0x7f000001, 47171 };
+	struct sockaddr_in in = address_to_sockaddr(address);
+	struct http_server *server;
+	struct held h;
+	std::string more(100000, 'x');
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const char request[] = "POST /pay HTTP/1.1\r\nHost: shop.example\r\n"
+			       "Fescuehitch-Caller-Service: forged\r\n"
+			       "Content-Length: 7\r\n\r\ndeposit";
+
+	ASSERT_EQ(http_server_create(loop, address, hold, &h, &server),
+		  FESCUE_OK);
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	ASSERT_GT(write(fd, request, strlen(request)), 0);
+	while (!h.exchange)
+		uv_run(loop, UV_RUN_ONCE);
+	ASSERT_GT(send(fd, more.data(), more.size(), MSG_DONTWAIT), 0);
+	for (int i = 0; i < 5; i++)
+		uv_run(loop, UV_RUN_NOWAIT);
+	Fescue__Packet *packet = call_request_create(&h.origin);
+	Fescue__CallRequest *r = packet->call_request;
+	EXPECT_EQ(std::string((char *)r->body.data, r->body.len), "deposit");
+	EXPECT_STREQ(r->path, "/pay");
+	EXPECT_STREQ(r->host, "shop.example");
+	ASSERT_EQ(r->n_headers, 1u) << "the caller's own is dropped";
+	EXPECT_STREQ(r->headers[0]->value, "mine");
+	packet_destroy(packet);
+	call_origin_clear(&h.origin);
+	if (!h.gone)
+		http_exchange_reply_text(h.exchange, 200, "text/plain", "");
+	close(fd);
+	http_server_stop(server);
+	for (int i = 0; i < 20; i++)
+		uv_run(loop, UV_RUN_NOWAIT);
+}
+
+} // namespace
