--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -126,7 +126,8 @@
 		a->reused = result->reused;
 		a->body.assign(result->body, result->body_size);
 	}
-	struct answer get(const char *id = "1")
+	/* pause_us: how long the answer may pile up before it is read. */
+	struct answer get(const char *id = "1", useconds_t pause_us = 0)
 	{
 		struct answer a;
 		struct http_header header = { "x-id", id };
@@ -140,6 +141,9 @@
 		request.echo = id;
 		request.timeout_ms = 2000;
 		http_pool_send(pool, &request, on_done, &a);
+		for (int i = 0; pause_us && i < 5; i++)
+			uv_run(loop, UV_RUN_NOWAIT);
+		usleep(pause_us);
 		while (!a.done)
 			uv_run(loop, UV_RUN_ONCE);
 		return a;
@@ -173,7 +177,7 @@
 			{ { unsized + std::string("part"), step::RESET } });
 		client c(peer.address);
 
-		EXPECT_EQ(c.get().error, FESCUE_EPARTIAL);
+		EXPECT_EQ(c.get("1", 20000).error, FESCUE_EPARTIAL);
 	}
 }
 
