Order the queue by rank, then lateness, then due time

Cause: a call of low rank that could still end in time went before one of high rank that was late; nested calls are of rank 1 and due after 120 ms, so under load they waited behind 300 ms calls of rank 2 and the calls above them failed. Ruled out: telling nested calls by their caller's address, callers and instances of a machine share it (trial: every call was marked).

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -3,11 +3,10 @@
  * are refused before anything ran.
  *
  * Urgent calls may take every slot; background calls leave a reserved share
- * free, yet get one grant in ten while they wait. Within a class go first
- * the calls that running calls made, because slots are held until they end;
- * then those that can still end in time before those that are late already;
- * then lower ranks; then the earlier due. Queues are bounded. A call that
- * cannot be done before its deadline is refused at once, by the time its
+ * free, yet get one grant in ten while they wait. Within a class lower ranks
+ * go first; within a rank calls that can still end in time go before those
+ * that are late already, then the earlier due. Queues are bounded. A call
+ * that cannot be done before its deadline is refused at once, by the time its
  * kind takes in a slot, the work that goes before it and the share of the
  * slots that lower ranks take. The module owns no socket and reads no clock.
  */
@@ -41,7 +40,6 @@
 	uint64_t ticket; /* chosen by the caller of this module */
 	enum call_class call_class;
 	uint32_t rank; /* lower ones go first */
-	int nested; /* made by a call that holds a slot elsewhere */
 	uint32_t kind; /* calls of one kind take about as long */
 	uint64_t due_ms; /* worth less afterwards; 0: no such time */
 	uint64_t deadline_ms; /* absolute */
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1792,7 +1792,7 @@
   (ProtobufCMessageInit) fescue__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_request__field_descriptors[16] =
+static const ProtobufCFieldDescriptor fescue__call_request__field_descriptors[15] =
 {
   {
     "call_id",
@@ -1962,21 +1962,9 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "nested",
-    15,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Fescue__CallRequest, nested),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "kind",
-    16,
+    15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
@@ -1995,10 +1983,9 @@
   4,   /* field[4] = headers */
   9,   /* field[9] = host */
   8,   /* field[8] = idempotent */
-  15,   /* field[15] = kind */
+  14,   /* field[14] = kind */
   13,   /* field[13] = latency_ms */
   2,   /* field[2] = method */
-  14,   /* field[14] = nested */
   3,   /* field[3] = path */
   10,   /* field[10] = queue */
   12,   /* field[12] = rank */
@@ -2008,7 +1995,7 @@
 static const ProtobufCIntRange fescue__call_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor fescue__call_request__descriptor =
 {
@@ -2018,7 +2005,7 @@
   "Fescue__CallRequest",
   "fescue",
   sizeof(Fescue__CallRequest),
-  16,
+  15,
   fescue__call_request__field_descriptors,
   fescue__call_request__field_indices_by_name,
   1,  fescue__call_request__number_ranges,
--- a/src/admission.c
+++ b/src/admission.c
@@ -88,7 +88,7 @@
 
 static uint32_t rank_index(const struct admission_call *call)
 {
-	return call->nested ? 0 : MIN(call->rank, RANKS - 1);
+	return MIN(call->rank, RANKS - 1);
 }
 
 static void age_grants(struct admission *a, uint64_t now_ms)
@@ -138,14 +138,12 @@
 {
 	int late_x, late_y;
 
-	if (x->nested != y->nested)
-		return x->nested;
+	if (x->rank != y->rank)
+		return x->rank < y->rank;
 	late_x = is_late(a, x, now_ms);
 	late_y = is_late(a, y, now_ms);
 	if (late_x != late_y)
 		return late_y;
-	if (x->rank != y->rank)
-		return x->rank < y->rank;
 	return x->due_ms <= y->due_ms;
 }
 
--- a/src/caller.c
+++ b/src/caller.c
@@ -34,7 +34,6 @@
 	struct route_handle route;
 	uint32_t part; /* of the route, which serves it */
 	struct contract contract;
-	int nested; /* made by a call that runs on this host */
 	struct call_origin origin;
 	uint64_t entered_ms;
 	uint64_t deadline_ms;
@@ -200,7 +199,6 @@
 	request->rank = c->contract.rank;
 	request->call_class = c->contract.call_class;
 	request->idempotent = c->contract.idempotent;
-	request->nested = c->nested;
 	request->kind = snapshot_route(c->snapshot, c->route)->kind;
 	return packet;
 }
@@ -516,9 +514,6 @@
 	c->contract = rule->contract;
 	call_origin_copy(&c->origin, exchange, t->links->headers,
 			 t->settings.service, depth);
-	/* Callers are elsewhere: from this host only its backend server calls. */
-	c->nested = http_exchange_peer_ip(exchange) ==
-		    address_from_key(t->links->own).ip;
 	wait_ms = http_exchange_header_number(
 		exchange, t->links->headers->deadline, c->contract.deadline_ms);
 	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -250,17 +250,6 @@
 	return to_text(exchange->req->entity);
 }
 
-uint32_t http_exchange_peer_ip(const struct http_exchange *exchange)
-{
-	h2o_conn_t *conn = exchange->req->conn;
-	struct sockaddr_storage sa;
-
-	if (!conn->callbacks->get_peername(conn, (struct sockaddr *)&sa) ||
-	    sa.ss_family != AF_INET)
-		return 0;
-	return address_from_sockaddr((struct sockaddr_in *)&sa).ip;
-}
-
 struct http_text http_exchange_header(const struct http_exchange *exchange,
 				      const char *name)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -55,9 +55,6 @@
 struct http_text http_exchange_host(const struct http_exchange *exchange);
 struct http_text http_exchange_body(const struct http_exchange *exchange);
 
-/* IPv4 address of the caller's end, in host byte order; 0: not known. */
-uint32_t http_exchange_peer_ip(const struct http_exchange *exchange);
-
 /* Value of the header, or bytes NULL. name is lower case. */
 struct http_text http_exchange_header(const struct http_exchange *exchange,
 				      const char *name);
