Route by the wait that the call's rank was told

A host's queue is long for rank 2 and short for rank 1; entry nodes sent calls of rank 1 to other domains for the wait of rank 2. Answers now carry the wait of each rank.

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -79,6 +79,13 @@
 /* Mean time of a call in its slot, 0 before the first one ended. */
 uint32_t admission_service_us(const struct admission *admission);
 
+/*
+ * Expected time until a call of each rank that comes now would get a slot,
+ * in milliseconds.
+ */
+void admission_rank_waits(const struct admission *admission,
+			  uint32_t waits_ms[RULES_RANK_LEVELS]);
+
 /* Expected time until the queue as it is now would be worked off. */
 uint32_t admission_wait_ms(const struct admission *admission);
 
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -53,6 +53,8 @@
 	uint32_t queued;
 	uint32_t slots;
 	uint32_t service_us; /* mean time of a call in a slot; 0: not known */
+	int has_waits;
+	uint32_t waits_ms[RULES_RANK_LEVELS]; /* for a slot, by rank */
 };
 
 struct router;
@@ -68,6 +70,7 @@
 	const char *own_domain;
 	const uint64_t *excluded; /* hosts that were tried already */
 	size_t excluded_count;
+	uint32_t rank;
 	double kilobytes; /* of request and answer, expected */
 	uint64_t now_ms;
 };
--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -32,6 +32,7 @@
 #define RULES_RETRIES_DEFAULT 1
 
 #define RULES_RANK_MAX 99
+#define RULES_RANK_LEVELS 4 /* told apart in queues; higher ones are one */
 #define RULES_RANK_URGENT 1 /* of calls whose route names no rank */
 #define RULES_RANK_BACKGROUND 5
 #define RULES_PARTS_MAX 8
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -2012,7 +2012,7 @@
   (ProtobufCMessageInit) fescue__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[15] =
+static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[16] =
 {
   {
     "call_id",
@@ -2194,6 +2194,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "waits_ms",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Fescue__CallAnswer, n_waits_ms),
+    offsetof(Fescue__CallAnswer, waits_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_answer__field_indices_by_name[] = {
   12,   /* field[12] = arrived */
@@ -2211,11 +2223,12 @@
   9,   /* field[9] = slots */
   2,   /* field[2] = status */
   11,   /* field[11] = suspect */
+  15,   /* field[15] = waits_ms */
 };
 static const ProtobufCIntRange fescue__call_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor fescue__call_answer__descriptor =
 {
@@ -2225,7 +2238,7 @@
   "Fescue__CallAnswer",
   "fescue",
   sizeof(Fescue__CallAnswer),
-  15,
+  16,
   fescue__call_answer__field_descriptors,
   fescue__call_answer__field_indices_by_name,
   1,  fescue__call_answer__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -336,10 +336,15 @@
    * mean time of a call in a slot there
    */
   uint32_t service_us;
+  /*
+   * for a slot, by rank
+   */
+  size_t n_waits_ms;
+  uint32_t *waits_ms;
 };
 #define FESCUE__CALL_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_answer__descriptor) \
-    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Fescue__CallCancel
--- a/src/admission.c
+++ b/src/admission.c
@@ -8,7 +8,6 @@
 
 #define SERVICE_TIME_WEIGHT 0.05
 #define KINDS_MAX 256 /* routes come and go with versions */
-#define RANKS 8 /* higher ones count as the highest */
 #define SHARE_HALF_LIFE_MS 1000.0 /* of the work that ranks were granted */
 #define SHARE_LEFT_MIN 0.1 /* even under a flood of lower ranks */
 /* Work times vary: below this part of the mean a call has no real chance. */
@@ -22,7 +21,7 @@
 	int draining;
 	double service_us; /* moving average of the time in the slot */
 	GHashTable *kinds; /* kind -> double, the same for its calls */
-	double granted_us[RANKS]; /* work granted lately, decaying */
+	double granted_us[RULES_RANK_LEVELS]; /* work granted lately, decaying */
 	uint64_t granted_at_ms;
 	uint32_t grants; /* since a waiting background call last got a slot */
 	GQueue queues[CALL_CLASS_COUNT]; /* struct admission_call */
@@ -88,7 +87,7 @@
 
 static uint32_t rank_index(const struct admission_call *call)
 {
-	return MIN(call->rank, RANKS - 1);
+	return MIN(call->rank, RULES_RANK_LEVELS - 1);
 }
 
 static void age_grants(struct admission *a, uint64_t now_ms)
@@ -98,7 +97,7 @@
 
 	if (now_ms <= a->granted_at_ms)
 		return;
-	for (int i = 0; i < RANKS; i++)
+	for (int i = 0; i < RULES_RANK_LEVELS; i++)
 		a->granted_us[i] *= factor;
 	a->granted_at_ms = now_ms;
 }
@@ -110,15 +109,14 @@
 	a->granted_us[rank_index(call)] += kind_us(a, call->kind);
 }
 
-/* Share of the slots that is left to the call by lower ranks. */
-static double share_left(const struct admission *a,
-			 const struct admission_call *call, double limit)
+/* Share of the slots that is left to a rank by lower ones. */
+static double share_left(const struct admission *a, uint32_t rank, double limit)
 {
 	/* A steady flow of w us each ms adds up to w * half-life / ln 2. */
 	double full_us = limit * 1000 * SHARE_HALF_LIFE_MS / M_LN2;
 	double before_us = 0;
 
-	for (uint32_t i = 0; i < rank_index(call); i++)
+	for (uint32_t i = 0; i < rank; i++)
 		before_us += a->granted_us[i];
 	return MAX(1 - before_us / full_us, SHARE_LEFT_MIN);
 }
@@ -162,7 +160,8 @@
 					a, ((struct admission_call *)l->data)
 						   ->kind);
 	return (uint64_t)((kind_us(a, call->kind) +
-			   ahead_us / (limit * share_left(a, call, limit))) /
+			   ahead_us / (limit * share_left(a, rank_index(call),
+							limit))) /
 			  1000);
 }
 
@@ -356,6 +355,27 @@
 	return (uint32_t)a->service_us;
 }
 
+void admission_rank_waits(const struct admission *a,
+			  uint32_t waits_ms[RULES_RANK_LEVELS])
+{
+	double queued_us[RULES_RANK_LEVELS] = { 0 }, ahead_us = 0;
+	double slots = MAX(a->slots, 1);
+
+	for (int i = 0; i < CALL_CLASS_COUNT; i++)
+		for (GList *l = a->queues[i].head; l; l = l->next) {
+			const struct admission_call *call = l->data;
+
+			queued_us[rank_index(call)] += kind_us(a, call->kind);
+		}
+	if (a->in_use >= a->slots)
+		ahead_us = a->service_us;
+	for (uint32_t i = 0; i < RULES_RANK_LEVELS; i++) {
+		ahead_us += queued_us[i];
+		waits_ms[i] = (uint32_t)(ahead_us / 1000 /
+					 (slots * share_left(a, i, slots)));
+	}
+}
+
 uint32_t admission_wait_ms(const struct admission *a)
 {
 	double us = a->service_us;
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -19,6 +19,9 @@
 	answer->queued = admission_queued(admission);
 	answer->slots = admission_slots(admission);
 	answer->service_us = admission_service_us(admission);
+	answer->n_waits_ms = RULES_RANK_LEVELS;
+	answer->waits_ms = g_new(uint32_t, RULES_RANK_LEVELS);
+	admission_rank_waits(admission, answer->waits_ms);
 	return packet;
 }
 
--- a/src/caller.c
+++ b/src/caller.c
@@ -225,6 +225,7 @@
 	struct router_question question = {
 		.snapshot = c->snapshot,
 		.own_domain = t->settings.failure_domain,
+		.rank = c->contract.rank,
 		.excluded = c->tried,
 		.excluded_count = c->tried_count,
 		.kilobytes = call_sizes_kilobytes(
@@ -360,18 +361,32 @@
 		c->retry_after_ms = ms;
 }
 
+static void read_load(const Fescue__CallAnswer *answer,
+		      struct router_load *load)
+{
+	memset(load, 0, sizeof(*load));
+	load->in_use = answer->in_use;
+	load->queued = answer->queued;
+	load->slots = answer->slots;
+	load->service_us = answer->service_us;
+	load->has_waits = answer->n_waits_ms == RULES_RANK_LEVELS;
+	if (load->has_waits)
+		memcpy(load->waits_ms, answer->waits_ms,
+		       sizeof(load->waits_ms));
+}
+
 void caller_table_answer(struct caller_table *t, uint64_t from,
 			 const Fescue__CallAnswer *answer)
 {
 	struct call *c = g_hash_table_lookup(t->attempts, &answer->call_id);
-	struct router_load load = { answer->in_use, answer->queued,
-				    answer->slots, answer->service_us };
+	struct router_load load;
 	struct retry_question ended = { .arrived = answer->arrived,
 					.final = answer->final };
 
 	/* A late answer of an earlier attempt, or one that is not ours. */
 	if (!c || last_tried(c) != from)
 		return;
+	read_load(answer, &load);
 	switch (answer->outcome) {
 	case FESCUE__OUTCOME__RAN:
 		end_attempt(c,
--- a/src/router.c
+++ b/src/router.c
@@ -298,6 +298,27 @@
 	return mean_ms + (e->load.service_us / 1000.0 - mean_ms) * factor;
 }
 
+/*
+ * Time until a call gets a slot: as its rank was told to wait, and for what
+ * was sent since; by the calls there alone if the host did not tell.
+ */
+static double expected_wait(const struct router *r,
+			    const struct host_evidence *e,
+			    const struct router_question *q, double by_load)
+{
+	double age = (double)(q->now_ms - e->load_at_ms);
+	double factor = exp2(-age / r->settings.load_half_life_ms);
+	uint32_t rank = MIN(q->rank, RULES_RANK_LEVELS - 1);
+	double slots = MAX(e->load.slots, 1);
+	double told, since;
+
+	if (by_load <= 0 || !e->load.has_waits)
+		return MAX(by_load, 0);
+	told = e->load.waits_ms[rank] * factor;
+	since = e->load.service_us / 1000.0 * e->sent_since / slots;
+	return MIN(told + since, by_load);
+}
+
 /* Time until a call sent now would be answered, and what else it costs. */
 static double expected_cost(const struct router *r, const struct candidate *c,
 			    const struct router_question *q, double mean_ms)
@@ -311,8 +332,7 @@
 	double crowding = MIN(load / slots, 1.0);
 	double cost = service * (1 + CROWDING_WEIGHT * crowding * crowding);
 
-	if (load + 1 > slots)
-		cost += service * (load + 1 - slots) / slots;
+	cost += expected_wait(r, e, q, service * (load + 1 - slots) / slots);
 	cost += aged_failing(r, e, q->now_ms) * r->settings.failure_cost_ms;
 	if (strcmp(c->host->failure_domain, q->own_domain))
 		cost += r->settings.cross_domain_ms +
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -12,6 +12,18 @@
 
 const char text[] = "service a # A\nroute GET */ a # A\n";
 
+struct router_load load(uint32_t in_use, uint32_t queued, uint32_t slots,
+			uint32_t service_us = 0)
+{
+	struct router_load l = {};
+
+	l.in_use = in_use;
+	l.queued = queued;
+	l.slots = slots;
+	l.service_us = service_us;
+	return l;
+}
+
 struct fixture {
 	struct snapshot *snapshot;
 	struct service_handle service;
@@ -52,10 +64,12 @@
 		q.excluded = excluded.data();
 		q.excluded_count = excluded.size();
 		q.kilobytes = kilobytes;
+		q.rank = rank;
 		q.now_ms = now_ms;
 		return router_choose(router, &q, &host) ? 0 : host;
 	}
 	double kilobytes = 0;
+	uint32_t rank = 0;
 	/* One call that the host answers, reporting this load. */
 	void answer(uint64_t host, struct router_load load, uint64_t now_ms)
 	{
@@ -86,7 +100,7 @@
 TEST(router, reported_load_ages)
 {
 	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "y", 2 } });
-	struct router_load full = { 2, 4, 2, 0 };
+	struct router_load full = load(2, 4, 2);
 
 	router_started(f.router, 1, 1000);
 	router_finished(f.router, 1, ROUTER_REFUSED, 1, &full, 1000);
@@ -123,8 +137,8 @@
 TEST(router, host_that_refuses_with_room_is_ejected)
 {
 	fixture f({ { 1, "a", "x", 6 }, { 2, "a", "x", 6 } });
-	struct router_load room = { 1, 0, 6, 0 };
-	struct router_load full = { 6, 2, 6, 0 };
+	struct router_load room = load(1, 0, 6);
+	struct router_load full = load(6, 2, 6);
 
 	for (int i = 0; i < 9; i++) {
 		router_started(f.router, 2, 1000);
@@ -224,13 +238,13 @@
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
 
-	f.answer(1, { 4, 2, 4, 100000 }, 1000);
-	f.answer(2, { 0, 0, 4, 100000 }, 1000);
+	f.answer(1, load(4, 2, 4, 100000), 1000);
+	f.answer(2, load(0, 0, 4, 100000), 1000);
 	f.kilobytes = 0.5;
 	EXPECT_EQ(f.choose("x", 1000), 2u);
 	f.kilobytes = 10;
 	EXPECT_EQ(f.choose("x", 1000), 1u);
-	f.answer(1, { 4, 30, 4, 100000 }, 1000);
+	f.answer(1, load(4, 30, 4, 100000), 1000);
 	EXPECT_EQ(f.choose("x", 1000), 2u);
 }
 
@@ -238,7 +252,7 @@
 TEST(router, failing_share_is_weighed_against_the_wait)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
-	struct router_load idle = { 0, 0, 4, 100000 };
+	struct router_load idle = load(0, 0, 4, 100000);
 
 	for (int i = 0; i < 30; i++) {
 		f.answer(2, idle, 1000);
@@ -249,12 +263,30 @@
 	}
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ(f.choose("x", 1000), 2u);
-	f.answer(2, { 4, 12, 4, 100000 }, 1000);
+	f.answer(2, load(4, 12, 4, 100000), 1000);
 	EXPECT_EQ(f.choose("x", 1000), 1u);
 	/* Failures are forgotten. */
 	EXPECT_EQ(f.choose("x", 1000, { 2 }), 1u);
 }
 
+/* A call that goes first there does not shun a host for its long queue. */
+TEST(router, wait_is_that_of_the_rank)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
+	struct router_load busy = load(4, 30, 4, 100000);
+
+	busy.has_waits = 1;
+	busy.waits_ms[1] = 10;
+	busy.waits_ms[2] = 900;
+	f.answer(1, busy, 1000);
+	f.answer(2, load(0, 0, 4, 100000), 1000);
+	f.kilobytes = 8;
+	f.rank = 1;
+	EXPECT_EQ(f.choose("x", 1000), 1u);
+	f.rank = 2;
+	EXPECT_EQ(f.choose("x", 1000), 2u);
+}
+
 TEST(router, unreachable_host_is_left_out_at_once)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
@@ -287,7 +319,7 @@
 			running.push_back(host);
 		} else {
 			size_t at = g_rand_int_range(random, 0, running.size());
-			struct router_load load = { 1, 0, 3, 0 };
+			struct router_load load = ::load(1, 0, 3);
 
 			router_finished(f.router, running[at],
 					(enum router_result)g_rand_int_range(
