Send repeated headers as numbers on a link

Ruled out: packing bodies, they are random bytes. Each link now numbers what it has sent twice, and an echoed request id stays at the target.

--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1741,7 +1741,7 @@
   (ProtobufCMessageInit) fescue__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__header__field_descriptors[2] =
+static const ProtobufCFieldDescriptor fescue__header__field_descriptors[4] =
 {
   {
     "name",
@@ -1767,15 +1767,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pair_number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Header, pair_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name_number",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Header, name_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__header__field_indices_by_name[] = {
   0,   /* field[0] = name */
+  3,   /* field[3] = name_number */
+  2,   /* field[2] = pair_number */
   1,   /* field[1] = value */
 };
 static const ProtobufCIntRange fescue__header__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor fescue__header__descriptor =
 {
@@ -1785,7 +1811,7 @@
   "Fescue__Header",
   "fescue",
   sizeof(Fescue__Header),
-  2,
+  4,
   fescue__header__field_descriptors,
   fescue__header__field_indices_by_name,
   1,  fescue__header__number_ranges,
@@ -2012,7 +2038,7 @@
   (ProtobufCMessageInit) fescue__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[16] =
+static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[17] =
 {
   {
     "call_id",
@@ -2206,12 +2232,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echoes_id",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__CallAnswer, echoes_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_answer__field_indices_by_name[] = {
   12,   /* field[12] = arrived */
   5,   /* field[5] = body */
   4,   /* field[4] = body_bytes */
   0,   /* field[0] = call_id */
+  16,   /* field[16] = echoes_id */
   10,   /* field[10] = final */
   3,   /* field[3] = headers */
   7,   /* field[7] = in_use */
@@ -2228,7 +2267,7 @@
 static const ProtobufCIntRange fescue__call_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor fescue__call_answer__descriptor =
 {
@@ -2238,7 +2277,7 @@
   "Fescue__CallAnswer",
   "fescue",
   sizeof(Fescue__CallAnswer),
-  16,
+  17,
   fescue__call_answer__field_descriptors,
   fescue__call_answer__field_indices_by_name,
   1,  fescue__call_answer__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -242,15 +242,26 @@
     , 0, 0 }
 
 
+/*
+ * A number without its text stands for what was sent with it before.
+ */
 struct  Fescue__Header
 {
   ProtobufCMessage base;
   char *name;
   char *value;
+  /*
+   * of name and value; 0: none
+   */
+  uint32_t pair_number;
+  /*
+   * of the name alone; 0: none
+   */
+  uint32_t name_number;
 };
 #define FESCUE__HEADER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__header__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Fescue__CallRequest
@@ -341,10 +352,14 @@
    */
   size_t n_waits_ms;
   uint32_t *waits_ms;
+  /*
+   * the request's id header, left out here, is back
+   */
+  protobuf_c_boolean echoes_id;
 };
 #define FESCUE__CALL_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_answer__descriptor) \
-    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Fescue__CallCancel
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -38,18 +38,33 @@
 	return 0;
 }
 
+/*
+ * The id that the backend server echoes is known where the answer goes; an
+ * answer with another id was skipped.
+ */
+static int header_is_echo(const struct header_names *names, const char *name)
+{
+	return names->request_id && !strcmp(names->request_id, name);
+}
+
 static void add_answer_headers(Fescue__CallAnswer *answer,
+			       const struct header_names *names,
 			       const struct http_result *result)
 {
 	answer->headers = g_new(Fescue__Header *, result->header_count + 1);
 	for (size_t i = 0; i < result->header_count; i++) {
+		const char *name = result->headers[i].name;
 		Fescue__Header *header;
 
-		if (header_is_hop_by_hop(result->headers[i].name))
+		if (header_is_hop_by_hop(name))
+			continue;
+		if (header_is_echo(names, name)) {
+			answer->echoes_id = 1;
 			continue;
+		}
 		header = g_new(Fescue__Header, 1);
 		fescue__header__init(header);
-		packet_set_string(&header->name, result->headers[i].name);
+		packet_set_string(&header->name, name);
 		packet_set_string(&header->value, result->headers[i].value);
 		answer->headers[answer->n_headers++] = header;
 	}
@@ -77,6 +92,7 @@
 }
 
 static Fescue__Packet *answer_of_run(const struct admission *admission,
+				     const struct header_names *names,
 				     uint64_t call_id,
 				     const struct http_result *result)
 {
@@ -85,7 +101,7 @@
 	Fescue__CallAnswer *answer = packet->call_answer;
 
 	answer->status = (uint32_t)result->status;
-	add_answer_headers(answer, result);
+	add_answer_headers(answer, names, result);
 	packet_set_bytes(&answer->body, result->body, result->body_size);
 	answer->body_bytes = result->body_size;
 	answer->arrived = 1;
@@ -115,7 +131,7 @@
 		return packet;
 	}
 	if (!result->error && !is_unsigned(headers, result))
-		return answer_of_run(admission, call_id, result);
+		return answer_of_run(admission, headers, call_id, result);
 	if (!result->sent)
 		return call_answer_create(
 			admission, call_id, CALL_NOT_RUN,
--- a/src/call_reply.c
+++ b/src/call_reply.c
@@ -10,10 +10,11 @@
 
 void call_reply_answer(struct http_exchange *exchange,
 		       const struct header_names *names,
-		       const Fescue__CallAnswer *answer, uint64_t version)
+		       const Fescue__CallAnswer *answer, const char *id,
+		       uint64_t version)
 {
 	struct http_header *headers =
-		g_new(struct http_header, answer->n_headers + 2);
+		g_new(struct http_header, answer->n_headers + 3);
 	size_t n = 0;
 	char number[24];
 
@@ -24,6 +25,10 @@
 		headers[n].name = answer->headers[i]->name;
 		headers[n++].value = answer->headers[i]->value;
 	}
+	if (answer->echoes_id && id) {
+		headers[n].name = names->request_id;
+		headers[n++].value = id;
+	}
 	if (names->outcome) {
 		headers[n].name = names->outcome;
 		headers[n++].value = call_outcome_name(CALL_RAN);
--- a/src/call_reply.h
+++ b/src/call_reply.h
@@ -9,10 +9,11 @@
 #include "interface.h"
 #include "packet.h"
 
-/* Pass a backend server's answer on, unchanged. */
+/* Pass a backend server's answer on, unchanged. id: of the request. */
 void call_reply_answer(struct http_exchange *exchange,
 		       const struct header_names *names,
-		       const Fescue__CallAnswer *answer, uint64_t version);
+		       const Fescue__CallAnswer *answer, const char *id,
+		       uint64_t version);
 
 /*
  * Say why there is no answer. A 503 tells the caller when to come back;
--- a/src/call_request.c
+++ b/src/call_request.c
@@ -1,5 +1,7 @@
 #include "call_request.h"
 
+#include "fescue/error.h"
+
 #include <string.h>
 
 static void header_free(gpointer p)
@@ -102,6 +104,18 @@
 	}
 }
 
+const char *call_origin_header(const struct call_origin *origin,
+			       const char *name)
+{
+	for (guint i = 0; name && i < origin->headers->len; i++) {
+		const Fescue__Header *h = g_ptr_array_index(origin->headers, i);
+
+		if (!strcmp(h->name, name))
+			return h->value;
+	}
+	return NULL;
+}
+
 void call_origin_clear(struct call_origin *origin)
 {
 	g_free(origin->method);
@@ -136,3 +150,59 @@
 	}
 	return packet;
 }
+
+/* Names no caller can use: host and service, as entries of the list. */
+#define HOST_NAME ":host"
+#define SERVICE_NAME ":service"
+#define ADDED_HEADERS 2
+
+static Fescue__Header *header_take(const char *name, char *value)
+{
+	Fescue__Header *header = g_new(Fescue__Header, 1);
+
+	fescue__header__init(header);
+	header->name = g_strdup(name);
+	header->value = value;
+	return header;
+}
+
+void call_request_encode(struct header_encoder *encoder,
+			 Fescue__CallRequest *request)
+{
+	size_t n = request->n_headers;
+
+	request->headers = g_renew(Fescue__Header *, request->headers,
+				   n + ADDED_HEADERS);
+	request->headers[n++] = header_take(HOST_NAME, request->host);
+	request->headers[n++] = header_take(SERVICE_NAME, request->service);
+	request->host = (char *)protobuf_c_empty_string;
+	request->service = (char *)protobuf_c_empty_string;
+	request->n_headers = n;
+	header_encode(encoder, request->headers, n);
+}
+
+static int take_back(Fescue__CallRequest *request, const char *name, char **out)
+{
+	Fescue__Header *last;
+
+	if (!request->n_headers)
+		return FESCUE_EINVAL;
+	last = request->headers[request->n_headers - 1];
+	if (strcmp(last->name, name))
+		return FESCUE_EINVAL;
+	*out = last->value;
+	last->value = (char *)protobuf_c_empty_string;
+	fescue__header__free_unpacked(last, NULL);
+	request->n_headers--;
+	return FESCUE_OK;
+}
+
+int call_request_decode(struct header_decoder *decoder,
+			Fescue__CallRequest *request)
+{
+	if (header_decode(decoder, request->headers, request->n_headers) ||
+	    take_back(request, SERVICE_NAME, &request->service) ||
+	    take_back(request, HOST_NAME, &request->host))
+		return FESCUE_EINVAL;
+	return FESCUE_OK;
+}
--- a/src/caller.c
+++ b/src/caller.c
@@ -147,6 +147,8 @@
 			answer->body.len);
 	review_connection(t, c->exchange);
 	call_reply_answer(c->exchange, t->links->headers, answer,
+			  call_origin_header(&c->origin,
+					     t->links->headers->request_id),
 			  snapshot_version(c->snapshot));
 	call_end(c);
 }
--- a/src/transport.c
+++ b/src/transport.c
@@ -1,6 +1,8 @@
 #include "transport.h"
 
+#include "call_request.h"
 #include "fescue/error.h"
+#include "fescue/header_codec.h"
 #include "log.h"
 #include "socket_options.h"
 
@@ -34,6 +36,8 @@
 	uint64_t ping_ms; /* when a sign of life was asked for; 0: not */
 	GByteArray *input;
 	GQueue waiting; /* GByteArray, frames until connected */
+	struct header_encoder *encoder;
+	struct header_decoder *decoder;
 };
 
 struct transport {
@@ -96,6 +100,27 @@
 
 static int link_take(struct link *link, const Fescue__Packet *packet);
 
+static void link_encode(struct link *link, Fescue__Packet *packet)
+{
+	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
+		call_request_encode(link->encoder, packet->call_request);
+	else if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
+		header_encode(link->encoder, packet->call_answer->headers,
+			      packet->call_answer->n_headers);
+}
+
+static int link_decode(struct link *link, Fescue__Packet *packet)
+{
+	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
+		return call_request_decode(link->decoder,
+					   packet->call_request);
+	if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
+		return header_decode(link->decoder,
+				     packet->call_answer->headers,
+				     packet->call_answer->n_headers);
+	return FESCUE_OK;
+}
+
 /*
  * Decode and hand on one packet; link is NULL for a datagram. Returns 0 or
  * FESCUE_EINVAL.
@@ -105,7 +130,8 @@
 {
 	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
 
-	if (!packet || packet->body_case == FESCUE__PACKET__BODY__NOT_SET) {
+	if (!packet || packet->body_case == FESCUE__PACKET__BODY__NOT_SET ||
+	    (link && link_decode(link, packet))) {
 		t->counters->values[COUNTER_packets_malformed]++;
 		packet_destroy(packet);
 		return FESCUE_EINVAL;
@@ -141,6 +167,8 @@
 	struct link *link = handle->data;
 
 	g_byte_array_free(link->input, TRUE);
+	header_encoder_destroy(link->encoder);
+	header_decoder_destroy(link->decoder);
 	g_queue_clear_full(&link->waiting, (GDestroyNotify)g_byte_array_unref);
 	g_free(link);
 }
@@ -263,6 +291,8 @@
 	link->transport = t;
 	link->used_ms = uv_now(t->loop);
 	link->input = g_byte_array_new();
+	link->encoder = header_encoder_create();
+	link->decoder = header_decoder_create();
 	g_queue_init(&link->waiting);
 	uv_tcp_init(t->loop, &link->tcp);
 	link->tcp.data = link;
@@ -338,8 +368,7 @@
 }
 
 static void send_by_link(struct transport *t, uint64_t to,
-			 enum packet_purpose purpose,
-			 const Fescue__Packet *packet)
+			 enum packet_purpose purpose, Fescue__Packet *packet)
 {
 	struct link *link = g_hash_table_lookup(t->links, &to);
 	GByteArray *frame;
@@ -348,6 +377,7 @@
 		link = link_open(t, to);
 	if (!link)
 		return;
+	link_encode(link, packet);
 	frame = encode(packet, FRAME_HEADER_BYTES);
 	t->counters->bytes_sent[purpose] += frame->len;
 	link->used_ms = uv_now(t->loop);
@@ -385,7 +415,7 @@
 }
 
 void transport_send(struct transport *t, uint64_t to,
-		    enum packet_purpose purpose, const Fescue__Packet *packet)
+		    enum packet_purpose purpose, Fescue__Packet *packet)
 {
 	if (t->stopped)
 		return;
@@ -396,25 +426,6 @@
 		send_by_link(t, to, purpose, packet);
 }
 
-void transport_broadcast(struct transport *t, enum packet_purpose purpose,
-			 const Fescue__Packet *packet)
-{
-	GHashTable *peers = g_hash_table_new(g_int64_hash, g_int64_equal);
-	GHashTableIter iter;
-	gpointer key;
-
-	for (guint i = 0; i < t->all->len; i++) {
-		struct link *link = g_ptr_array_index(t->all, i);
-
-		if (link->peer && link->state == LINK_OPEN)
-			g_hash_table_add(peers, &link->peer);
-	}
-	g_hash_table_iter_init(&iter, peers);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		transport_send(t, *(uint64_t *)key, purpose, packet);
-	g_hash_table_destroy(peers);
-}
-
 static void review_silence(struct link *link, uint64_t now)
 {
 	if (link->state != LINK_OPEN || !link->peer)
--- a/src/transport.h
+++ b/src/transport.h
@@ -36,16 +36,11 @@
 
 /*
  * Send a packet, by UDP or TCP as its size and purpose ask. Calls always
- * travel by TCP. A packet to an unreachable peer is dropped and link_closed
+ * travel by TCP. The headers in the packet are used up. A packet to an unreachable peer is dropped and link_closed
  * follows.
  */
 void transport_send(struct transport *transport, uint64_t to,
-		    enum packet_purpose purpose, const Fescue__Packet *packet);
-
-/* Send to every peer that a link stands with. */
-void transport_broadcast(struct transport *transport,
-			 enum packet_purpose purpose,
-			 const Fescue__Packet *packet);
+		    enum packet_purpose purpose, Fescue__Packet *packet);
 
 /*
  * Advance time: ask links that carried calls lately and fell silent for a
