--- a/fescue/router.h
+++ b/fescue/router.h
@@ -72,12 +72,14 @@
 	size_t excluded_count;
 	uint32_t rank;
 	double kilobytes; /* of request and answer, expected */
+	uint32_t remaining_ms; /* until the call's deadline */
 	uint64_t now_ms;
 };
 
 /*
  * Choose a host of the service. Returns 0 and stores its address key, or
- * FESCUE_ENOTFOUND when none is left.
+ * FESCUE_ENOTFOUND when none is left, FESCUE_ETIMEOUT when the best one is
+ * in another failure domain and not worth its cost in the time that remains.
  */
 int router_choose(struct router *router, const struct router_question *question,
 		  uint64_t *host);
--- a/src/caller.c
+++ b/src/caller.c
@@ -232,6 +232,7 @@
 		.excluded_count = c->tried_count,
 		.kilobytes = call_sizes_kilobytes(
 			t->sizes, snapshot_route(c->snapshot, c->route)),
+		.remaining_ms = remaining_ms(c, c->deadline_ms),
 		.now_ms = now_ms(t),
 	};
 
--- a/src/router.c
+++ b/src/router.c
@@ -340,7 +340,30 @@
 	return cost;
 }
 
-/* One of the cheapest hosts, at random. */
+static int serves_own_domain(const GArray *candidates,
+			     const struct router_question *q)
+{
+	for (guint i = 0; i < candidates->len; i++)
+		if (!strcmp(candidate_at(candidates, i)->host->failure_domain,
+			    q->own_domain))
+			return 1;
+	return 0;
+}
+
+/* Has the own domain hosts of the service at all, tried ones included? */
+static int own_domain_has_hosts(const struct router_question *q)
+{
+	size_t n = snapshot_service_host_count(q->snapshot, q->service);
+
+	for (size_t i = 0; i < n; i++)
+		if (!strcmp(snapshot_service_host(q->snapshot, q->service, i)
+				    ->failure_domain,
+			    q->own_domain))
+			return 1;
+	return 0;
+}
+
+/* One of the cheapest hosts, at random; NULL: none is worth its cost. */
 static const struct candidate *
 cheapest(struct router *r, const GArray *candidates,
 	 const struct router_question *q)
@@ -356,6 +379,9 @@
 					 mean_ms);
 		least = MIN(least, costs[i]);
 	}
+	if (least > q->remaining_ms && !serves_own_domain(candidates, q) &&
+	    own_domain_has_hosts(q))
+		least = -HUGE_VAL;
 	for (guint i = 0; i < candidates->len; i++) {
 		if (costs[i] > least * EQUAL_COST_FACTOR + EQUAL_COST_MS)
 			continue;
@@ -388,14 +414,17 @@
 		  uint64_t *host)
 {
 	GArray *candidates = find_candidates(r, q);
+	const struct candidate *chosen;
 
 	if (!candidates->len) {
 		g_array_free(candidates, TRUE);
 		return FESCUE_ENOTFOUND;
 	}
-	*host = pick(r, candidates, q)->host->host;
+	chosen = pick(r, candidates, q);
+	if (chosen)
+		*host = chosen->host->host;
 	g_array_free(candidates, TRUE);
-	return FESCUE_OK;
+	return chosen ? FESCUE_OK : FESCUE_ETIMEOUT;
 }
 
 void router_started(struct router *r, uint64_t host, uint64_t now_ms)
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -65,11 +65,13 @@
 		q.excluded_count = excluded.size();
 		q.kilobytes = kilobytes;
 		q.rank = rank;
+		q.remaining_ms = remaining_ms;
 		q.now_ms = now_ms;
 		return router_choose(router, &q, &host) ? 0 : host;
 	}
 	double kilobytes = 0;
 	uint32_t rank = 0;
+	uint32_t remaining_ms = 10000;
 	/* One call that the host answers, reporting this load. */
 	void answer(uint64_t host, struct router_load load, uint64_t now_ms)
 	{
@@ -269,6 +271,20 @@
 	EXPECT_EQ(f.choose("x", 1000, { 2 }), 1u);
 }
 
+/* A refused call leaves its domain only for what it is worth. */
+TEST(router, costly_host_is_not_worth_the_time_left)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
+
+	f.kilobytes = 10;
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 2u);
+	f.remaining_ms = 100;
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 0u);
+	EXPECT_EQ(f.choose("x", 1000), 1u);
+	/* A domain without the service has no choice. */
+	EXPECT_NE(f.choose("z", 1000), 0u);
+}
+
 /* A call that goes first there does not shun a host for its long queue. */
 TEST(router, wait_is_that_of_the_rank)
 {
