--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -43,6 +43,7 @@
 	uint32_t kind; /* calls of one kind take about as long */
 	uint64_t due_ms; /* worth less afterwards; 0: no such time */
 	uint64_t deadline_ms; /* absolute */
+	uint64_t queue_until_ms; /* absolute; it is refused if it still waits */
 	uint32_t queue; /* limit of its class */
 	uint32_t reserve_percent;
 };
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1818,7 +1818,7 @@
   (ProtobufCMessageInit) fescue__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_request__field_descriptors[15] =
+static const ProtobufCFieldDescriptor fescue__call_request__field_descriptors[16] =
 {
   {
     "call_id",
@@ -2000,6 +2000,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queue_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__CallRequest, queue_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_request__field_indices_by_name[] = {
   5,   /* field[5] = body */
@@ -2014,6 +2026,7 @@
   2,   /* field[2] = method */
   3,   /* field[3] = path */
   10,   /* field[10] = queue */
+  15,   /* field[15] = queue_ms */
   12,   /* field[12] = rank */
   11,   /* field[11] = reserve_percent */
   1,   /* field[1] = service */
@@ -2021,7 +2034,7 @@
 static const ProtobufCIntRange fescue__call_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor fescue__call_request__descriptor =
 {
@@ -2031,7 +2044,7 @@
   "Fescue__CallRequest",
   "fescue",
   sizeof(Fescue__CallRequest),
-  15,
+  16,
   fescue__call_request__field_descriptors,
   fescue__call_request__field_indices_by_name,
   1,  fescue__call_request__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -300,6 +300,10 @@
    * left of the latency target; 0: none or passed
    */
   uint32_t latency_ms;
+  /*
+   * longest wait for a slot; 0: none at all
+   */
+  uint32_t queue_ms;
   /*
    * calls of one route take about as long
    */
@@ -307,7 +311,7 @@
 };
 #define FESCUE__CALL_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_request__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Fescue__CallAnswer
--- a/src/admission.c
+++ b/src/admission.c
@@ -145,8 +145,8 @@
 	return x->due_ms <= y->due_ms;
 }
 
-/* Expected milliseconds until a call that joins the queue now is done. */
-static uint64_t expected_ms(const struct admission *a,
+/* Expected milliseconds until a call that joins the queue now has a slot. */
+static uint64_t expected_wait_ms(const struct admission *a,
 			    const struct admission_call *call, uint64_t now_ms)
 {
 	double limit = class_limit(a, call);
@@ -159,10 +159,8 @@
 				ahead_us += kind_us(
 					a, ((struct admission_call *)l->data)
 						   ->kind);
-	return (uint64_t)((kind_us(a, call->kind) +
-			   ahead_us / (limit * share_left(a, rank_index(call),
-							limit))) /
-			  1000);
+	return (uint64_t)(ahead_us / 1000 /
+			  (limit * share_left(a, rank_index(call), limit)));
 }
 
 static enum admission_reason refusal(const struct admission *a,
@@ -182,11 +180,16 @@
 					   const struct admission_call *call,
 					   uint64_t now_ms)
 {
+	uint64_t wait_ms, done_ms;
+
 	if (a->policy == ADMISSION_FIFO)
 		return ADMISSION_OK;
 	if (queue_length(a, call->call_class) >= call->queue)
 		return ADMISSION_QUEUE_FULL;
-	if (now_ms + expected_ms(a, call, now_ms) > call->deadline_ms)
+	wait_ms = expected_wait_ms(a, call, now_ms);
+	done_ms = now_ms + wait_ms + (uint64_t)(kind_us(a, call->kind) / 1000);
+	if (done_ms > call->deadline_ms ||
+	    now_ms + wait_ms > call->queue_until_ms)
 		return ADMISSION_DEADLINE;
 	return ADMISSION_OK;
 }
@@ -251,7 +254,7 @@
 	note_kind(a, kind, (double)service_us);
 }
 
-/* Can the call still be done before its deadline if it starts now? */
+/* May the call wait on, and be done before its deadline if it starts now? */
 static int has_chance(const struct admission *a,
 		      const struct admission_call *call, uint64_t now_ms)
 {
@@ -259,7 +262,8 @@
 
 	if (a->policy != ADMISSION_FIFO)
 		needed_ms = kind_us(a, call->kind) / 1000 * CHANCE_SHARE;
-	return now_ms + (uint64_t)needed_ms < call->deadline_ms;
+	return now_ms < call->queue_until_ms &&
+	       now_ms + (uint64_t)needed_ms < call->deadline_ms;
 }
 
 static int pop_expired(struct admission *a, uint64_t now_ms, uint64_t *ticket)
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -388,6 +388,7 @@
 		.kind = request->kind,
 		.due_ms = now + request->latency_ms,
 		.deadline_ms = now + request->deadline_ms,
+		.queue_until_ms = now + request->queue_ms,
 		.queue = request->queue,
 		.reserve_percent = MIN(request->reserve_percent, 90),
 	};
--- a/src/caller.c
+++ b/src/caller.c
@@ -12,6 +12,11 @@
 
 #define TRIED_MAX (RULES_RETRIES_MAX + 1 + RETRY_MOVES_MAX + 1)
 #define DEPTH_MAX 16
+/*
+ * A call that gets no slot in this part of its time is refused, so that its
+ * caller has time left to come back.
+ */
+#define QUEUE_DIVISOR 2
 #define EVIDENCE_IDLE_MS 600000
 /* For the target's own expiry to answer before the entry node does. */
 #define DEADLINE_GRACE_MS 75
@@ -37,6 +42,7 @@
 	struct call_origin origin;
 	uint64_t entered_ms;
 	uint64_t deadline_ms;
+	uint64_t queue_until_ms; /* it is refused if it still waits for a slot */
 	uint64_t entered_us;
 	uint32_t arrivals; /* attempts that backend servers have seen */
 	uint32_t moves; /* attempts that none has seen */
@@ -198,6 +204,7 @@
 	request->deadline_ms = remaining_ms(c, c->deadline_ms);
 	request->latency_ms =
 		remaining_ms(c, c->entered_ms + c->contract.latency_ms);
+	request->queue_ms = remaining_ms(c, c->queue_until_ms);
 	request->rank = c->contract.rank;
 	request->call_class = c->contract.call_class;
 	request->idempotent = c->contract.idempotent;
@@ -537,6 +544,7 @@
 	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
 	c->entered_ms = now_ms(t);
 	c->deadline_ms = c->entered_ms + wait_ms;
+	c->queue_until_ms = c->entered_ms + wait_ms / QUEUE_DIVISOR;
 	c->entered_us = monotonic_clock_us();
 	uv_timer_init(t->links->loop, &c->timer);
 	c->timer.data = c;
--- a/test/test_admission.cc
+++ b/test/test_admission.cc
@@ -11,6 +11,7 @@
 {
 
 struct fixture {
+	uint64_t queue_until = 0;
 	struct admission *a;
 	enum admission_reason reason;
 
@@ -33,6 +34,7 @@
 		call.ticket = ticket;
 		call.call_class = c;
 		call.deadline_ms = deadline;
+		call.queue_until_ms = queue_until ? queue_until : deadline;
 		call.queue = queue;
 		call.reserve_percent = 50;
 		return admission_offer(a, &call, now, &reason);
@@ -105,6 +107,24 @@
 	EXPECT_EQ(admission_next(f.a, 60, &ticket), ADMISSION_QUEUED);
 }
 
+/* A caller is told in time that it gets no slot. */
+TEST(admission, call_that_waits_too_long_is_handed_back)
+{
+	fixture f(1);
+	uint64_t ticket;
+
+	f.offer(1, CALL_CLASS_URGENT);
+	f.queue_until = 500;
+	EXPECT_EQ(f.offer(2, CALL_CLASS_URGENT, 0, 1000), ADMISSION_QUEUED);
+	EXPECT_EQ(admission_next(f.a, 499, &ticket), ADMISSION_QUEUED);
+	EXPECT_EQ(admission_next(f.a, 500, &ticket), ADMISSION_REFUSED);
+	EXPECT_EQ(ticket, 2u);
+	admission_finish(f.a, 0, 600000);
+	f.offer(3, CALL_CLASS_URGENT);
+	EXPECT_EQ(f.offer(4, CALL_CLASS_URGENT, 0, 2000), ADMISSION_REFUSED)
+		<< "a slot is free after 600 ms";
+}
+
 TEST(admission, draining_and_missing_backend_refuse)
 {
 	fixture f(1);
