--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -107,9 +107,9 @@
 void membership_ask_peers(struct membership *membership, uint32_t max,
 			  struct outbox *outbox);
 
-/* Probe one random host that is up, out of turn. */
-void membership_probe_one(struct membership *membership,
-			  struct outbox *outbox);
+/* Probe up to count random hosts that are up, out of turn. */
+void membership_probe_some(struct membership *membership, uint32_t count,
+			   struct outbox *outbox);
 
 /* Abort when the digest or the host counts do not match the table. */
 void membership_assert_valid(const struct membership *membership);
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -386,7 +386,7 @@
 	if (b->store_up || now_ms < b->probe_at_ms)
 		return;
 	b->probe_at_ms = now_ms + PROBE_WITHOUT_STORE_MS;
-	membership_probe_one(b->node->membership, &b->node->outbox);
+	membership_probe_some(b->node->membership, 1, &b->node->outbox);
 }
 
 void bootstrap_tick(struct bootstrap *b)
--- a/src/membership.c
+++ b/src/membership.c
@@ -579,12 +579,18 @@
 	}
 }
 
-void membership_probe_one(struct membership *m, struct outbox *outbox)
+void membership_probe_some(struct membership *m, uint32_t count,
+			   struct outbox *outbox)
 {
-	struct member *member = random_member(m, 1);
+	shuffle_members(m);
+	for (guint i = 1; i < m->table.members->len && count; i++) {
+		struct member *member = g_ptr_array_index(m->table.members, i);
 
-	if (member)
+		if (!host_is_up(&member->host))
+			continue;
 		send_ping(m, member->host.address, ++m->sequence, outbox);
+		count--;
+	}
 }
 
 void membership_assert_valid(const struct membership *m)
--- a/src/node.c
+++ b/src/node.c
@@ -16,6 +16,8 @@
 
 #define TICK_MS 50
 #define LINK_IDLE_MS 660000
+/* Hosts told at once of a change of the backend server; they pass it on. */
+#define ANNOUNCE_FAN_OUT 12
 #define CUT_OFF_MS 5000
 /* Nothing in flight for this long: a stopping node may end. */
 #define DRAIN_IDLE_MS 150
@@ -271,9 +273,14 @@
 static void on_backend_changed(void *data, const struct backend_state *state)
 {
 	struct node *node = data;
+	uint64_t before = membership_generation(node->membership);
 
 	membership_set_backend(node->membership, state->service, state->slots,
 			       state->serving);
+	/* Where calls may go should not wait for the next probe. */
+	if (membership_generation(node->membership) != before)
+		membership_probe_some(node->membership, ANNOUNCE_FAN_OUT,
+				      &node->outbox);
 	node_update_config(node);
 }
 
@@ -321,6 +328,18 @@
 	uv_stop(node->loop);
 }
 
+static void leave_fleet(struct node *node);
+
+static void review_stop(struct node *node)
+{
+	if (!node->left_fleet &&
+	    node_now_ms(node) >=
+		    node->drain_since_ms + node->settings.stop_serve_ms)
+		leave_fleet(node);
+	if (node->left_fleet)
+		finish_drain(node);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct node *node = timer->data;
@@ -340,21 +359,30 @@
 	review_contact(node);
 	node_update_config(node);
 	if (node_is_draining(node))
-		finish_drain(node);
+		review_stop(node);
 }
 
-void node_drain(struct node *node)
+/* Hand the backend server's calls to others; what runs is finished. */
+static void leave_fleet(struct node *node)
 {
-	if (node_is_draining(node))
-		return;
 	log_state("stopping: no new calls for the backend server");
-	node->drain_since_ms = node_now_ms(node);
+	node->left_fleet = 1;
 	membership_leave(node->membership, &node->outbox);
 	node_flush(node);
 	backend_server_drain(node->backend);
 	node_update_config(node);
 }
 
+void node_drain(struct node *node)
+{
+	if (node_is_draining(node))
+		return;
+	log_state("stopping");
+	node->drain_since_ms = node_now_ms(node);
+	if (!node->settings.stop_serve_ms)
+		leave_fleet(node);
+}
+
 static void on_signal(uv_signal_t *signal, int number)
 {
 	(void)number;
--- a/src/node.h
+++ b/src/node.h
@@ -56,6 +56,7 @@
 	uv_signal_t sigint;
 	uv_signal_t sighup;
 	uint64_t drain_since_ms; /* 0 while not stopping */
+	int left_fleet; /* peers were told, the backend server drains */
 	uint64_t idle_since_ms; /* while stopping: nothing in flight; or 0 */
 	int cut_off; /* no peer answered for a while */
 };
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -56,6 +56,7 @@
 	  admission_policies },
 	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
 	NUMBER("drain_ms", drain_ms, 0, 600000),
+	NUMBER("stop_serve_ms", stop_serve_ms, 0, 600000),
 	NUMBER("stop_min_ms", stop_min_ms, 0, 600000),
 	NUMBER("announce_delay_ms", announce_delay_ms, 0, 60000),
 	NUMBER("cross_domain_ms_per_kb", cross_domain_ms_per_kb, 0, 60000),
@@ -72,6 +73,7 @@
 	NUMBER("suspicion_ms", membership.suspicion_ms, 100, 600000),
 	NUMBER("updates_per_packet", membership.updates_per_packet, 1, 64),
 	NUMBER("sync_interval_ms", membership.sync_interval_ms, 100, 600000),
+	NUMBER("dead_probe_periods", membership.dead_probe_periods, 1, 1000),
 	NUMBER("dead_retention_ms", membership.dead_retention_ms, 1000,
 	       86400000),
 };
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -33,6 +33,7 @@
 	char service[SETTING_TEXT_BYTES]; /* of the own backend server */
 	uint32_t announce_delay_ms;
 	int floor_policy; /* enum floor_policy */
+	uint32_t stop_serve_ms; /* calls go on to the backend server for so long */
 	uint32_t stop_min_ms; /* least time between a stop signal and the end */
 	uint32_t deltas; /* 1: push differences, 0: whole texts */
 	int router_policy; /* enum router_policy */
--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -296,7 +296,7 @@
 		distribution_set_source(n.distribution, !lost);
 		if (lost && now >= n.repair_at) {
 			n.repair_at = now + 300;
-			membership_probe_one(n.membership, &outbox);
+			membership_probe_some(n.membership, 1, &outbox);
 		}
 		if (!n.watching || !n.booted || lost || now < n.watch_at ||
 		    store.revision <= n.watch_after)
