Say "not run" only of calls none of whose attempts may have run

Also, a crash on a connection used before was no longer suspected, so one request crashed five backend servers there; crashes are now looked for by a bare connection, which costs no slot and no health check. Ruled out: the quarantine itself, its tests hold.

--- a/fescue/retry.h
+++ b/fescue/retry.h
@@ -19,6 +19,13 @@
 
 const char *call_outcome_name(enum call_outcome outcome);
 
+/*
+ * Outcome of a call whose attempts ended so far as before, and then as last:
+ * once one may have run, the call is not known not to have run.
+ */
+enum call_outcome call_outcome_add(enum call_outcome before,
+				   enum call_outcome last);
+
 /* Token bucket; zero-initialised it holds no tokens. */
 struct retry_budget {
 	double tokens;
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -219,7 +219,8 @@
 				 now_ms(b));
 	if (s->answer->call_answer->suspect && b->pool) {
 		s->state = SERVING_REPORTING;
-		crash_reports_begin(b->settings.crashes, b->pool,
+		crash_reports_begin(b->settings.crashes,
+				    b->record.current.address,
 				    b->record.current.service, s->fingerprint,
 				    on_crash_reported, s);
 		return;
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -139,7 +139,6 @@
 	packet = call_answer_create(admission, call_id, CALL_UNKNOWN,
 				    failure_reason(result));
 	packet->call_answer->arrived = 1;
-	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL &&
-				       !result->answered && !result->reused;
+	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL;
 	return packet;
 }
--- a/src/caller.c
+++ b/src/caller.c
@@ -52,6 +52,7 @@
 	uint64_t attempt_id; /* 0 between attempts */
 	uint64_t attempt_us;
 	uint64_t asked_ms;
+	enum call_outcome outcome; /* of all attempts that ended */
 	uint32_t retry_after_ms; /* the least that a refusing host named */
 	Fescue__CallAnswer *fallback; /* a failure that a repeat may better */
 	uv_timer_t timer;
@@ -250,13 +251,13 @@
 	return router_choose(t->router, &question, host);
 }
 
-static void attempt(struct call *c, enum call_outcome outcome,
-		    const char *reason)
+static void attempt(struct call *c, const char *reason)
 {
 	uint64_t host;
 
 	if (choose_host(c, &host))
-		finish_failed(c, outcome, failure_status(outcome), reason);
+		finish_failed(c, c->outcome, failure_status(c->outcome),
+			      reason);
 	else
 		send_attempt(c, host);
 }
@@ -285,10 +286,13 @@
 static void attempt_failed(struct call *c, const struct retry_question *ended,
 			   const char *reason)
 {
-	if (may_repeat(c, ended))
-		attempt(c, ended->outcome, reason);
+	int again = may_repeat(c, ended);
+
+	c->outcome = call_outcome_add(c->outcome, ended->outcome);
+	if (again)
+		attempt(c, reason);
 	else
-		finish_failed(c, ended->outcome, failure_status(ended->outcome),
+		finish_failed(c, c->outcome, failure_status(c->outcome),
 			      reason);
 }
 
@@ -359,7 +363,8 @@
 	} else if (ended.server_error && !c->fallback &&
 		   may_repeat(c, &ended)) {
 		c->fallback = answer_copy(answer);
-		attempt(c, CALL_RAN, "");
+		c->outcome = CALL_RAN;
+		attempt(c, "");
 	} else {
 		finish_ran(c, answer);
 	}
@@ -546,6 +551,7 @@
 	c->deadline_ms = c->entered_ms + wait_ms;
 	c->queue_until_ms = c->entered_ms + wait_ms / QUEUE_DIVISOR;
 	c->entered_us = monotonic_clock_us();
+	c->outcome = CALL_NOT_RUN;
 	uv_timer_init(t->links->loop, &c->timer);
 	c->timer.data = c;
 	uv_timer_start(&c->timer, on_deadline, wait_ms + DEADLINE_GRACE_MS, 0);
@@ -614,7 +620,7 @@
 	c = call_create(t, exchange, snapshot, route, depth);
 	http_exchange_on_close(exchange, on_caller_gone, c);
 	retry_budget_earn(&t->budget);
-	attempt(c, CALL_NOT_RUN, "every backend server is busy or excluded");
+	attempt(c, "every backend server is busy or excluded");
 }
 
 void caller_table_tick(struct caller_table *t)
--- a/src/crash_report.c
+++ b/src/crash_report.c
@@ -1,14 +1,13 @@
 #include "crash_report.h"
 
+#include "connect_probe.h"
 #include "events.h"
-#include "fescue/error.h"
 #include "log.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #define PROBE_TIMEOUT_MS 200
-#define PROBES_MAX 5
 #define ACK_TIMEOUT_MS 200
 
 /* One run that was broken off. */
@@ -17,8 +16,6 @@
 	uint64_t id;
 	uint64_t fingerprint;
 	char service[HOST_NAME_BYTES];
-	struct http_pool *pool;
-	uint32_t probes;
 	uint32_t acks_missing;
 	uint64_t give_up_ms; /* 0 while the backend server is probed */
 	void (*done)(void *data);
@@ -96,36 +93,17 @@
 	tell_hosts(report);
 }
 
-static void probe(struct report *report);
-
-/*
- * A process that dies closes its sockets one by one: a probe may still be
- * accepted and then broken off. Only a whole answer shows that it lives.
- */
-static void on_probed(void *data, const struct http_result *result)
+static void on_probed(void *data, enum connect_probe_result result)
 {
 	struct report *report = data;
 
-	if (result->error == FESCUE_EPARTIAL && ++report->probes < PROBES_MAX) {
-		probe(report);
-		return;
-	}
-	if (result->error && result->error != FESCUE_ETIMEOUT)
+	if (result == CONNECT_PROBE_REFUSED)
 		note_crash(report);
 	if (!report->acks_missing)
 		report_end(report);
 }
 
-static void probe(struct report *report)
-{
-	struct http_request request = { .method = "GET",
-					.path = "/health",
-					.timeout_ms = PROBE_TIMEOUT_MS };
-
-	http_pool_send(report->pool, &request, on_probed, report);
-}
-
-void crash_reports_begin(struct crash_reports *reports, struct http_pool *pool,
+void crash_reports_begin(struct crash_reports *reports, struct address backend,
 			 const char *service, uint64_t fingerprint,
 			 void (*done)(void *data), void *data)
 {
@@ -139,8 +117,8 @@
 	report->done = done;
 	report->data = data;
 	g_hash_table_replace(reports->pending, &report->id, report);
-	report->pool = pool;
-	probe(report);
+	connect_probe_start(reports->links->loop, backend, PROBE_TIMEOUT_MS,
+			    on_probed, report);
 }
 
 static void receive_report(struct crash_reports *reports, uint64_t from,
--- a/src/crash_report.h
+++ b/src/crash_report.h
@@ -7,7 +7,6 @@
 
 #include "fescue/membership.h"
 #include "fescue/quarantine.h"
-#include "http_client.h"
 #include "task_links.h"
 
 struct crash_reports;
@@ -19,11 +18,11 @@
 void crash_reports_destroy(struct crash_reports *reports);
 
 /*
- * The backend server at pool broke off a run. Probes it; if it is gone, all
+ * The backend server at an address broke off a run. Probes it; if it is gone, all
  * hosts of the service are told and their acknowledgements awaited, for a
  * bounded time. done is called once, later.
  */
-void crash_reports_begin(struct crash_reports *reports, struct http_pool *pool,
+void crash_reports_begin(struct crash_reports *reports, struct address backend,
 			 const char *service, uint64_t fingerprint,
 			 void (*done)(void *data), void *data);
 
--- a/src/retry.c
+++ b/src/retry.c
@@ -15,6 +15,12 @@
 	return "unknown";
 }
 
+enum call_outcome call_outcome_add(enum call_outcome before,
+				   enum call_outcome last)
+{
+	return before == CALL_NOT_RUN ? last : before;
+}
+
 void retry_budget_earn(struct retry_budget *budget)
 {
 	budget->tokens += RETRY_TOKENS_PER_CALL;
--- a/test/system/operators.sh
+++ b/test/system/operators.sh
@@ -41,11 +41,12 @@
 
 # Bytes that no fescuectl checked are refused whole; the next good one goes in.
 before=$(status_of ereszkor 1 .version)
-revision=$(store_counter ereszkor revision)
 current=$("$bin/fescuectl" --store "$store" show | head -n 1 | cut -d' ' -f3)
-printf 'fescue 1 0000000000000001\nservice broken\n' |
-curl -s -o /dev/null -X PUT --data-binary @- \
-	"http://$store/v1/keys/fescue/config?if_revision=$current"
+value=$(printf 'fescue 1 0000000000000001\nservice broken\n' | base64 -w 0)
+curl -s -o /dev/null -X POST -d "{\"expectedRevision\":
+	[{\"key\":\"fescue/config\",\"revision\":$current}],
+	\"puts\":[{\"key\":\"fescue/config\",\"value\":\"$value\"}]}" \
+	"http://$store/fescuehitch/kv-txn"
 sleep 1
 test "$(versions | sort -u)" = "$before" || fail "a bad version is in force"
 "$bin/fescuectl" --node "$(node_ip ereszkor 1):9000" status |
--- a/test/test_retry.cc
+++ b/test/test_retry.cc
@@ -85,6 +85,14 @@
 	EXPECT_FALSE(retry_allow(&budget, &q)) << "it costs a token";
 }
 
+TEST(retry, call_that_may_have_run_stays_so)
+{
+	EXPECT_EQ(call_outcome_add(CALL_NOT_RUN, CALL_NOT_RUN), CALL_NOT_RUN);
+	EXPECT_EQ(call_outcome_add(CALL_NOT_RUN, CALL_UNKNOWN), CALL_UNKNOWN);
+	EXPECT_EQ(call_outcome_add(CALL_UNKNOWN, CALL_NOT_RUN), CALL_UNKNOWN);
+	EXPECT_EQ(call_outcome_add(CALL_RAN, CALL_NOT_RUN), CALL_RAN);
+}
+
 TEST(retry, failures_of_the_server_are_repeated_if_idempotent)
 {
 	struct contract plain = contract_of(0, 100, 3);
