--- /dev/null
+++ b/test/scripted_peer.h
@@ -0,0 +1,104 @@
+/*
+ * A peer for tests of clients: a thread that answers each request with a
+ * scripted step, however wrong.
+ */
+#ifndef FESCUE_TEST_SCRIPTED_PEER_H
+#define FESCUE_TEST_SCRIPTED_PEER_H
+
+#include "support.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+extern "C" {
+#include "fescue/address.h"
+}
+
+/* What the peer does once it has read a request. */
+struct step {
+	std::string bytes;
+	enum { KEEP, CLOSE, RESET, HANG } end;
+};
+
+/* A peer that plays one step a request, each connection going on. */
+struct scripted_peer {
+	int listener;
+	struct address address = { 0x7f000001, 0 };
+	std::vector<step> steps;
+	int connections = 0;
+	std::vector<std::string> requests; /* first line and body of each */
+	std::thread thread;
+
+	explicit scripted_peer(std::vector<step> s) : steps(std::move(s))
+	{
+		struct sockaddr_in in = {};
+		socklen_t len = sizeof(in);
+
+		in.sin_family = AF_INET;
+		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		bind(listener, (struct sockaddr *)&in, sizeof(in));
+		listen(listener, 8);
+		getsockname(listener, (struct sockaddr *)&in, &len);
+		address.port = ntohs(in.sin_port);
+		thread = std::thread([this] { play(); });
+	}
+	~scripted_peer()
+	{
+		thread.join();
+		close(listener);
+	}
+	bool read_request(int fd)
+	{
+		std::string in;
+		char buf[4096];
+		ssize_t n;
+
+		while (in.find("\r\n\r\n") == std::string::npos) {
+			n = read(fd, buf, sizeof(buf));
+			if (n <= 0)
+				return false;
+			in.append(buf, (size_t)n);
+		}
+		requests.push_back(in.substr(0, in.find("\r\n")) + "\n" +
+				   in.substr(in.find("\r\n\r\n") + 4));
+		return true;
+	}
+	void play()
+	{
+		int fd = -1;
+		char hung[64];
+
+		for (const step &s : steps) {
+			while (fd < 0 || !read_request(fd)) {
+				if (fd >= 0)
+					close(fd);
+				fd = accept(listener, nullptr, nullptr);
+				connections++;
+			}
+			EXPECT_EQ(write(fd, s.bytes.data(), s.bytes.size()),
+				  (ssize_t)s.bytes.size());
+			if (s.end == step::KEEP)
+				continue;
+			if (s.end == step::HANG) {
+				while (read(fd, hung, sizeof(hung)) > 0)
+					continue; /* until it is given up */
+			}
+			if (s.end == step::RESET) {
+				struct linger now = { 1, 0 };
+
+				setsockopt(fd, SOL_SOCKET, SO_LINGER, &now,
+					   sizeof(now));
+			}
+			close(fd);
+			fd = -1;
+		}
+		if (fd >= 0)
+			close(fd);
+	}
+};
+
+#endif
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -2,13 +2,10 @@
  * The HTTP client against a peer that misbehaves: answers without a length,
  * cut short, late, doubled, or on connections that it has given up.
  */
-#include "support.h"
+#include "scripted_peer.h"
 
-#include <arpa/inet.h>
 #include <csignal>
-#include <netinet/in.h>
 #include <sys/socket.h>
-#include <thread>
 #include <unistd.h>
 
 extern "C" {
@@ -21,82 +18,6 @@
 namespace
 {
 
-/* What the peer does once it has read a request. */
-struct step {
-	std::string bytes;
-	enum { KEEP, CLOSE, RESET } end;
-};
-
-/* A peer that plays one step a request, each connection going on. */
-struct scripted_peer {
-	int listener;
-	struct address address = { 0x7f000001, 0 };
-	std::vector<step> steps;
-	int connections = 0;
-	std::thread thread;
-
-	explicit scripted_peer(std::vector<step> s) : steps(std::move(s))
-	{
-		struct sockaddr_in in = {};
-		socklen_t len = sizeof(in);
-
-		in.sin_family = AF_INET;
-		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM, 0);
-		bind(listener, (struct sockaddr *)&in, sizeof(in));
-		listen(listener, 8);
-		getsockname(listener, (struct sockaddr *)&in, &len);
-		address.port = ntohs(in.sin_port);
-		thread = std::thread([this] { play(); });
-	}
-	~scripted_peer()
-	{
-		thread.join();
-		close(listener);
-	}
-	static bool read_request(int fd)
-	{
-		std::string in;
-		char buf[4096];
-		ssize_t n;
-
-		while (in.find("\r\n\r\n") == std::string::npos) {
-			n = read(fd, buf, sizeof(buf));
-			if (n <= 0)
-				return false;
-			in.append(buf, (size_t)n);
-		}
-		return true;
-	}
-	void play()
-	{
-		int fd = -1;
-
-		for (const step &s : steps) {
-			while (fd < 0 || !read_request(fd)) {
-				if (fd >= 0)
-					close(fd);
-				fd = accept(listener, nullptr, nullptr);
-				connections++;
-			}
-			EXPECT_EQ(write(fd, s.bytes.data(), s.bytes.size()),
-				  (ssize_t)s.bytes.size());
-			if (s.end == step::KEEP)
-				continue;
-			if (s.end == step::RESET) {
-				struct linger now = { 1, 0 };
-
-				setsockopt(fd, SOL_SOCKET, SO_LINGER, &now,
-					   sizeof(now));
-			}
-			close(fd);
-			fd = -1;
-		}
-		if (fd >= 0)
-			close(fd);
-	}
-};
-
 struct answer {
 	int done = 0, error = 0, status = 0, reused = 0;
 	std::string body;
--- /dev/null
+++ b/test/test_platform.cc
@@ -0,0 +1,212 @@
+/*
+ * The platform's documents and heartbeats, from any writer: they are decoded
+ * whole or refused whole, and never crash the node.
+ */
+#include "support.h"
+
+#include <cmath>
+
+extern "C" {
+#include "fescue/error.h"
+#include "fescue/rules.h"
+#include "platform/config_document.h"
+#include "platform/heartbeat.h"
+}
+
+namespace
+{
+
+const char service_a[] =
+	R"({"type":"services","metadata":{"name":"a"},"spec":{"healthPath":"/hz","maxConnections":110,"protocol":"h1","tls":false}})";
+const char service_b[] =
+	R"({"type":"services","metadata":{"name":"b"},"spec":{}})";
+
+std::string document(const std::string &resources, int version = 7)
+{
+	return "{\"version\":" + std::to_string(version) + ",\"resources\":[" +
+	       resources + "]}";
+}
+
+std::string route(const std::string &spec)
+{
+	return std::string(service_a) + "," + service_b +
+	       ",{\"type\":\"routes\",\"metadata\":{\"name\":\"r-1\"},"
+	       "\"spec\":" +
+	       spec + "}";
+}
+
+struct rendered {
+	struct config_document out;
+	char why[CONFIG_DOCUMENT_WHY_BYTES] = "";
+	int error;
+
+	explicit rendered(const std::string &bytes)
+	{
+		error = config_document_parse(bytes.data(), bytes.size(), &out,
+					      why);
+	}
+	~rendered()
+	{
+		g_free(out.text);
+	}
+	std::string text() const
+	{
+		return out.text ? std::string(out.text, out.size) : "";
+	}
+	/* Do the rules accept the text as well? */
+	bool is_good() const
+	{
+		struct rules *rules = nullptr;
+		size_t count;
+
+		if (error)
+			return false;
+		rules_parse(out.text, out.size, &rules, nullptr, 0, &count);
+		rules_destroy(rules);
+		return rules != nullptr;
+	}
+};
+
+const char good_route[] =
+	R"({"host":"Shop.example","prefix":"/p/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":500,"priority":1,"service":"a","maxAttempts":2})";
+
+TEST(config_document, is_rendered_as_rules)
+{
+	rendered r(document(
+		route(good_route) +
+		R"(,{"type":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})"));
+
+	ASSERT_EQ(r.error, FESCUE_OK) << r.why;
+	EXPECT_EQ(r.out.version, 7u);
+	EXPECT_TRUE(r.is_good());
+	EXPECT_EQ(r.text(),
+		  "service a deadline=600000 queue=10000 health=/hz "
+		  "connections=110 # operators: a\n"
+		  "service b deadline=600000 queue=10000 # operators: b\n"
+		  "route * Shop.example/p/ a idempotent=no deadline=1500 "
+		  "latency=500 rank=1 retries=1 # operators: r-1\n"
+		  "limits header=16384 body=67108864 header-time=3000 "
+		  "idle-time=15000 # operators: \n");
+}
+
+TEST(config_document, split_keeps_weights_and_drops_empty_parts)
+{
+	rendered r(document(route(
+		R"({"host":"h","prefix":"/p/","kind":"safe","trafficSplit":[{"service":"b","weight":0},{"service":"a","weight":90},{"service":"b","weight":10}]})")));
+
+	ASSERT_EQ(r.error, FESCUE_OK) << r.why;
+	EXPECT_TRUE(r.is_good());
+	EXPECT_NE(r.text().find(" a:90,b:10 idempotent=yes"),
+		  std::string::npos);
+}
+
+/* A bad document is refused whole; its version is known if it names one. */
+TEST(config_document, bad_ones_are_refused_whole)
+{
+	for (const char *spec :
+	     { R"({"prefix":"/p/","kind":"safe","service":"a"})",
+	       R"({"host":"h","prefix":"p/","kind":"safe","service":"a"})",
+	       R"({"host":"h","prefix":"/p","kind":"safe","service":"a"})",
+	       R"({"host":"h","prefix":"/p/","kind":"odd","service":"a"})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe"})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":"none"})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":7})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":"a # b"})",
+	       R"({"host":"h\nservice x","prefix":"/p/","kind":"safe","service":"a"})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":"a","timeoutMs":-1})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":"a","timeoutMs":9999999})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","service":"a","maxAttempts":0})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","trafficSplit":[{"service":"a"}]})",
+	       R"({"host":"h","prefix":"/p/","kind":"safe","trafficSplit":[{"service":"a","weight":0}]})",
+	       R"([])" }) {
+		rendered r(document(route(spec)));
+
+		EXPECT_FALSE(r.is_good()) << spec;
+		EXPECT_EQ(r.out.version, 7u) << spec;
+	}
+	for (const char *bytes : { "", "{", "[]", "{\"version\":0}",
+				   "{\"version\":\"7\",\"resources\":[]}",
+				   "{\"version\":1.5,\"resources\":[]}" }) {
+		rendered r(bytes);
+
+		EXPECT_EQ(r.error, FESCUE_EINVAL) << bytes;
+		EXPECT_EQ(r.out.version, 0u) << bytes;
+		EXPECT_EQ(r.out.text, nullptr);
+	}
+}
+
+/* Bytes cut or changed anywhere give the same rules, good ones or none. */
+TEST(config_document, mutated_documents_never_crash)
+{
+	std::string good = document(route(good_route));
+	GRand *random = g_rand_new_with_seed(11);
+
+	for (int i = 0; i < 20000; i++) {
+		std::string bytes = good;
+
+		for (int j = g_rand_int_range(random, 1, 4); j; j--)
+			bytes[g_rand_int_range(random, 0, bytes.size())] =
+				(char)g_rand_int(random);
+		if (g_rand_boolean(random))
+			bytes.resize(g_rand_int_range(random, 0, bytes.size()));
+		rendered first(bytes), second(bytes);
+		EXPECT_EQ(first.text(), second.text());
+	}
+	g_rand_free(random);
+}
+
+const char good_beat[] =
+	R"({"address":"10.1.0.9:8080","born":1700000000123,"info":{"service":"a","version":"v1","zone":"z","slots":18},"status":{"state":"ready","sequence":4,"warmupLeftMs":250}})";
+
+TEST(heartbeat, is_decoded)
+{
+	struct announcement a;
+
+	ASSERT_EQ(heartbeat_parse("i-1", good_beat, strlen(good_beat), &a),
+		  FESCUE_OK);
+	EXPECT_STREQ(a.id, "i-1");
+	EXPECT_STREQ(a.service, "a");
+	EXPECT_EQ(a.address.port, 8080);
+	EXPECT_EQ(a.slots, 18u);
+	EXPECT_EQ(a.started_ms, 1700000000123u);
+	EXPECT_EQ(a.warmup_ms, 250u);
+	EXPECT_FALSE(a.leaving);
+}
+
+TEST(heartbeat, of_another_writer_names_no_backend_server)
+{
+	struct announcement a;
+
+	for (const char *bytes :
+	     { "", "null", "[]", "{}", R"({"address":"10.1.0.9:8080"})",
+	       R"({"address":7,"info":{"service":"a","slots":1},"status":{"state":"ready","sequence":1}})",
+	       R"({"address":"x","info":{"service":"a","slots":1},"status":{"state":"ready","sequence":1}})",
+	       R"({"address":"1.2.3.4:5","info":{"service":"a","slots":"1"},"status":{"state":"ready","sequence":1}})",
+	       R"({"address":"1.2.3.4:5","info":{"service":"a","slots":1},"status":{"state":"resting","sequence":1}})",
+	       R"({"address":"1.2.3.4:5","info":{"service":"a","slots":1},"status":{"state":"ready"}})",
+	       R"({"address":"1.2.3.4:5","born":1.5,"info":{"service":"a","slots":1},"status":{"state":"ready","sequence":1}})",
+	       R"({"address":"1.2.3.4:5","info":[],"status":"ready"})" })
+		EXPECT_EQ(heartbeat_parse("i", bytes, strlen(bytes), &a),
+			  FESCUE_EINVAL)
+			<< bytes;
+}
+
+TEST(heartbeat, mutated_ones_never_crash)
+{
+	GRand *random = g_rand_new_with_seed(12);
+	struct announcement a;
+
+	for (int i = 0; i < 20000; i++) {
+		std::string bytes = good_beat;
+
+		bytes[g_rand_int_range(random, 0, bytes.size())] =
+			(char)g_rand_int(random);
+		if (!heartbeat_parse("i", bytes.data(), bytes.size(), &a)) {
+			EXPECT_GE(a.slots, 1u);
+			EXPECT_NE(a.service[0], '\0');
+		}
+	}
+	g_rand_free(random);
+}
+
+} // namespace
