Route by each host's pace for the call's kind, over a sample of hosts

Ruled out: processor, 0.01 cores a node. Now an answer tells the time for its own kind, compared with the mean of all hosts for it, and each choice looks at two hosts of each side.

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -77,8 +77,9 @@
 /* Remove a queued call; returns 0 or FESCUE_ENOTFOUND. */
 int admission_cancel(struct admission *admission, uint64_t ticket);
 
-/* Mean time of a call in its slot, 0 before the first one ended. */
-uint32_t admission_service_us(const struct admission *admission);
+/* Mean time of such a call in its slot, 0 before the first one ended. */
+uint32_t admission_service_us(const struct admission *admission,
+			      uint32_t kind);
 
 /*
  * Expected time until a call of each rank that comes now would get a slot,
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -52,7 +52,7 @@
 	uint32_t in_use;
 	uint32_t queued;
 	uint32_t slots;
-	uint32_t service_us; /* mean time of a call in a slot; 0: not known */
+	double pace; /* time in a slot there, of that anywhere; 0: not known */
 	int has_waits;
 	uint32_t waits_ms[RULES_RANK_LEVELS]; /* for a slot, by rank */
 };
@@ -71,6 +71,7 @@
 	const uint64_t *excluded; /* hosts that were tried already */
 	size_t excluded_count;
 	uint32_t rank;
+	double service_ms; /* time of such a call in a slot; 0: not known */
 	double kilobytes; /* of request and answer, expected */
 	uint32_t remaining_ms; /* until the call's deadline */
 	uint64_t now_ms;
--- a/src/admission.c
+++ b/src/admission.c
@@ -354,9 +354,12 @@
 	return FESCUE_ENOTFOUND;
 }
 
-uint32_t admission_service_us(const struct admission *a)
+uint32_t admission_service_us(const struct admission *a, uint32_t kind)
 {
-	return (uint32_t)a->service_us;
+	const double *us =
+		g_hash_table_lookup(a->kinds, GUINT_TO_POINTER(kind));
+
+	return us ? (uint32_t)*us : 0;
 }
 
 void admission_rank_waits(const struct admission *a,
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -111,11 +111,12 @@
 	task_send(b->links, to, packet);
 }
 
-static void refuse(struct backend_server *b, uint64_t to, uint64_t call_id,
-		   const char *reason)
+static void refuse(struct backend_server *b, uint64_t to,
+		   const Fescue__CallRequest *request, const char *reason)
 {
 	Fescue__Packet *packet =
-		call_answer_create(b->admission, call_id, CALL_NOT_RUN, reason);
+		call_answer_create(b->admission, request->kind,
+				   request->call_id, CALL_NOT_RUN, reason);
 
 	count(b, COUNTER_served_refused);
 	packet->call_answer->retry_after_ms = admission_wait_ms(b->admission);
@@ -212,7 +213,8 @@
 
 	s->http = NULL;
 	s->answer = call_answer_of_result(b->admission, b->links->headers,
-					  s->request->call_id, result);
+					  s->request->kind, s->request->call_id,
+					  result);
 	review_result(b, result);
 	if (!result->error)
 		quarantine_clear(b->settings.quarantine, s->fingerprint,
@@ -292,7 +294,8 @@
 {
 	struct backend_server *b = s->backend;
 	Fescue__Packet *packet = call_answer_create(
-		b->admission, s->request->call_id, CALL_NOT_RUN,
+		b->admission, s->request->kind, s->request->call_id,
+		CALL_NOT_RUN,
 		"the request crashed two backend servers; correct it");
 
 	packet->call_answer->final = 1;
@@ -309,7 +312,7 @@
 	s->state = SERVING_RUNNING;
 	s->started_us = monotonic_clock_us();
 	if (now_ms(b) >= s->deadline_ms || !b->pool) {
-		refuse(b, s->from, s->request->call_id,
+		refuse(b, s->from, s->request,
 		       b->pool ? "the deadline passed in the queue" :
 				 "the backend server is gone");
 		serving_end(s);
@@ -336,7 +339,7 @@
 			continue;
 		}
 		count(b, COUNTER_served_expired);
-		refuse(b, s->from, s->request->call_id,
+		refuse(b, s->from, s->request,
 		       "the deadline passed in the queue");
 		g_hash_table_remove(b->servings, &ticket);
 	}
@@ -422,7 +425,7 @@
 		serving_create(b, from, request);
 		break;
 	case ADMISSION_REFUSED:
-		refuse(b, from, request->call_id,
+		refuse(b, from, request,
 		       admission_reason_text(reason));
 		fescue__call_request__free_unpacked(request, NULL);
 		break;
@@ -471,7 +474,7 @@
 	}
 	answer_memory_bar(b->memory, from, call_id, now_ms(b));
 	task_send(b->links, from,
-		  call_answer_create(b->admission, call_id, CALL_NOT_RUN,
+		  call_answer_create(b->admission, 0, call_id, CALL_NOT_RUN,
 				     "the request never arrived"));
 }
 
@@ -514,7 +517,7 @@
 		if (!s || s->state != SERVING_QUEUED)
 			continue;
 		admission_cancel(b->admission, ticket);
-		refuse(b, s->from, s->request->call_id, reason);
+		refuse(b, s->from, s->request, reason);
 		g_hash_table_remove(b->servings, &ticket);
 	}
 	g_array_free(tickets, TRUE);
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 Fescue__Packet *call_answer_create(const struct admission *admission,
-				   uint64_t call_id, enum call_outcome outcome,
+				   uint32_t kind, uint64_t call_id,
+				   enum call_outcome outcome,
 				   const char *reason)
 {
 	Fescue__Packet *packet =
@@ -18,7 +19,7 @@
 	answer->in_use = admission_in_use(admission);
 	answer->queued = admission_queued(admission);
 	answer->slots = admission_slots(admission);
-	answer->service_us = admission_service_us(admission);
+	answer->service_us = admission_service_us(admission, kind);
 	answer->n_waits_ms = RULES_RANK_LEVELS;
 	answer->waits_ms = g_new(uint32_t, RULES_RANK_LEVELS);
 	admission_rank_waits(admission, answer->waits_ms);
@@ -93,11 +94,11 @@
 
 static Fescue__Packet *answer_of_run(const struct admission *admission,
 				     const struct header_names *names,
-				     uint64_t call_id,
+				     uint32_t kind, uint64_t call_id,
 				     const struct http_result *result)
 {
 	Fescue__Packet *packet =
-		call_answer_create(admission, call_id, CALL_RAN, "");
+		call_answer_create(admission, kind, call_id, CALL_RAN, "");
 	Fescue__CallAnswer *answer = packet->call_answer;
 
 	answer->status = (uint32_t)result->status;
@@ -119,24 +120,25 @@
 
 Fescue__Packet *call_answer_of_result(const struct admission *admission,
 				      const struct header_names *headers,
-				      uint64_t call_id,
+				      uint32_t kind, uint64_t call_id,
 				      const struct http_result *result)
 {
 	Fescue__Packet *packet;
 
 	if (!result->error && backend_shed(headers, result)) {
-		packet = call_answer_create(admission, call_id, CALL_NOT_RUN,
+		packet = call_answer_create(admission, kind, call_id, CALL_NOT_RUN,
 					    "the backend server shed the call");
 		packet->call_answer->arrived = 1;
 		return packet;
 	}
 	if (!result->error && !is_unsigned(headers, result))
-		return answer_of_run(admission, headers, call_id, result);
+		return answer_of_run(admission, headers, kind, call_id,
+				     result);
 	if (!result->sent)
 		return call_answer_create(
-			admission, call_id, CALL_NOT_RUN,
+			admission, kind, call_id, CALL_NOT_RUN,
 			"no connection to the backend server");
-	packet = call_answer_create(admission, call_id, CALL_UNKNOWN,
+	packet = call_answer_create(admission, kind, call_id, CALL_UNKNOWN,
 				    failure_reason(result));
 	packet->call_answer->arrived = 1;
 	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL;
--- a/src/caller.c
+++ b/src/caller.c
@@ -2,7 +2,7 @@
 
 #include "call_reply.h"
 #include "call_request.h"
-#include "call_sizes.h"
+#include "call_stats.h"
 #include "events.h"
 #include "fescue/error.h"
 #include "log.h"
@@ -63,7 +63,7 @@
 	struct caller_settings settings;
 	struct router *router;
 	GRand *random;
-	struct call_sizes *sizes;
+	struct call_stats *stats;
 	struct retry_budget budget;
 	uint64_t next_id;
 	GHashTable *attempts; /* id -> struct call */
@@ -150,7 +150,7 @@
 	struct caller_table *t = c->callers;
 
 	count_outcome(c, CALL_RAN);
-	call_sizes_note(t->sizes, snapshot_route(c->snapshot, c->route),
+	call_stats_note_size(t->stats, snapshot_route(c->snapshot, c->route),
 			answer->body.len);
 	review_connection(t, c->exchange);
 	call_reply_answer(c->exchange, t->links->headers, answer,
@@ -236,10 +236,12 @@
 		.snapshot = c->snapshot,
 		.own_domain = t->settings.failure_domain,
 		.rank = c->contract.rank,
+		.service_ms = call_stats_service_ms(
+			t->stats, snapshot_route(c->snapshot, c->route)),
 		.excluded = c->tried,
 		.excluded_count = c->tried_count,
-		.kilobytes = call_sizes_kilobytes(
-			t->sizes, snapshot_route(c->snapshot, c->route)),
+		.kilobytes = call_stats_kilobytes(
+			t->stats, snapshot_route(c->snapshot, c->route)),
 		.remaining_ms = remaining_ms(c, c->deadline_ms),
 		.now_ms = now_ms(t),
 	};
@@ -376,14 +378,16 @@
 		c->retry_after_ms = ms;
 }
 
-static void read_load(const Fescue__CallAnswer *answer,
+static void read_load(const struct call *c, const Fescue__CallAnswer *answer,
 		      struct router_load *load)
 {
 	memset(load, 0, sizeof(*load));
 	load->in_use = answer->in_use;
 	load->queued = answer->queued;
 	load->slots = answer->slots;
-	load->service_us = answer->service_us;
+	load->pace = call_stats_note_service(
+		c->callers->stats, snapshot_route(c->snapshot, c->route),
+		answer->service_us);
 	load->has_waits = answer->n_waits_ms == RULES_RANK_LEVELS;
 	if (load->has_waits)
 		memcpy(load->waits_ms, answer->waits_ms,
@@ -401,7 +405,7 @@
 	/* A late answer of an earlier attempt, or one that is not ours. */
 	if (!c || last_tried(c) != from)
 		return;
-	read_load(answer, &load);
+	read_load(c, answer, &load);
 	switch (answer->outcome) {
 	case FESCUE__OUTCOME__RAN:
 		end_attempt(c,
@@ -641,7 +645,7 @@
 	router.cross_domain_ms_per_kb = settings->cross_domain_ms_per_kb;
 	t->router = router_create(&router, settings->seed);
 	t->random = g_rand_new_with_seed(settings->seed + 1);
-	t->sizes = call_sizes_create();
+	t->stats = call_stats_create();
 	t->budget.tokens = RETRY_TOKENS_MAX;
 	t->next_id = wall_clock_us() << ID_INCARNATION_SHIFT >> 1;
 	t->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -655,7 +659,7 @@
 	g_hash_table_destroy(t->attempts);
 	router_destroy(t->router);
 	g_rand_free(t->random);
-	call_sizes_destroy(t->sizes);
+	call_stats_destroy(t->stats);
 	g_free(t);
 }
 
--- a/src/router.c
+++ b/src/router.c
@@ -14,7 +14,14 @@
 #define EJECTED_SHARE_MAX 2 /* at most one in this many */
 #define EJECTION_DOUBLINGS_MAX 5
 #define FAILURE_WEIGHT 0.15 /* of the latest result in the share that fails */
-#define SERVICE_INITIAL_MS 10.0 /* before any host told its own */
+#define PACE_WEIGHT 0.2
+#define SERVICE_INITIAL_MS 10.0 /* before any call has ended */
+/*
+ * What is known of a host is old when many entry nodes send to it: each looks
+ * at a few hosts only, or all would send to the same one.
+ */
+#define SAMPLE 2
+#define SAMPLE_ALL_MAX 3 /* so few hosts are all looked at */
 /* A host whose slots are nearly all taken is slower than an idle one. */
 #define CROWDING_WEIGHT 0.3
 /* Costs this close are equal: entry nodes must not all pick the same host. */
@@ -42,6 +49,7 @@
 	struct router_load load;
 	uint64_t load_at_ms;
 	double latency_us;
+	double pace; /* moving average of what its answers told; 0: nothing */
 	uint32_t sent_since; /* calls sent since the load was reported */
 	double failing; /* share of its calls that fail */
 	uint64_t failing_at_ms;
@@ -259,23 +267,6 @@
 		       a;
 }
 
-/* Mean time in a slot over the candidates that told theirs. */
-static double mean_service_ms(const GArray *candidates)
-{
-	double sum = 0;
-	guint known = 0;
-
-	for (guint i = 0; i < candidates->len; i++) {
-		const struct candidate *c = candidate_at(candidates, i);
-
-		if (!c->evidence->load.service_us)
-			continue;
-		sum += c->evidence->load.service_us / 1000.0;
-		known++;
-	}
-	return known ? sum / known : SERVICE_INITIAL_MS;
-}
-
 /* The share of failures, forgotten with time so that a host is tried again. */
 static double aged_failing(const struct router *r,
 			   const struct host_evidence *e, uint64_t now_ms)
@@ -285,17 +276,14 @@
 	return e->failing * exp2(-age / r->settings.failure_half_life_ms);
 }
 
-/* What a host told of its slots, forgotten towards the mean of all hosts. */
-static double aged_service_ms(const struct router *r,
-			      const struct host_evidence *e, double mean_ms,
-			      uint64_t now_ms)
+/* How slow the host is, forgotten while it is not used. */
+static double aged_pace(const struct router *r, const struct host_evidence *e,
+			uint64_t now_ms)
 {
 	double age = (double)(now_ms - e->load_at_ms);
 	double factor = exp2(-age / r->settings.latency_half_life_ms);
 
-	if (!e->load.service_us)
-		return mean_ms;
-	return mean_ms + (e->load.service_us / 1000.0 - mean_ms) * factor;
+	return e->pace ? 1 + (e->pace - 1) * factor : 1;
 }
 
 /*
@@ -304,7 +292,8 @@
  */
 static double expected_wait(const struct router *r,
 			    const struct host_evidence *e,
-			    const struct router_question *q, double by_load)
+			    const struct router_question *q, double service_ms,
+			    double by_load)
 {
 	double age = (double)(q->now_ms - e->load_at_ms);
 	double factor = exp2(-age / r->settings.load_half_life_ms);
@@ -315,16 +304,23 @@
 	if (by_load <= 0 || !e->load.has_waits)
 		return MAX(by_load, 0);
 	told = e->load.waits_ms[rank] * factor;
-	since = e->load.service_us / 1000.0 * e->sent_since / slots;
+	since = service_ms * e->sent_since / slots;
 	return MIN(told + since, by_load);
 }
 
+static int is_own_domain(const struct candidate *c,
+			 const struct router_question *q)
+{
+	return !strcmp(c->host->failure_domain, q->own_domain);
+}
+
 /* Time until a call sent now would be answered, and what else it costs. */
 static double expected_cost(const struct router *r, const struct candidate *c,
-			    const struct router_question *q, double mean_ms)
+			    const struct router_question *q)
 {
 	const struct host_evidence *e = c->evidence;
-	double service = aged_service_ms(r, e, mean_ms, q->now_ms);
+	double mean_ms = q->service_ms ? q->service_ms : SERVICE_INITIAL_MS;
+	double service = mean_ms * aged_pace(r, e, q->now_ms);
 	double slots = MAX(c->host->slots, 1) *
 		       slow_start_share(r, e, q->now_ms);
 	double load = MAX((double)e->outstanding,
@@ -332,9 +328,10 @@
 	double crowding = MIN(load / slots, 1.0);
 	double cost = service * (1 + CROWDING_WEIGHT * crowding * crowding);
 
-	cost += expected_wait(r, e, q, service * (load + 1 - slots) / slots);
+	cost += expected_wait(r, e, q, service,
+			      service * (load + 1 - slots) / slots);
 	cost += aged_failing(r, e, q->now_ms) * r->settings.failure_cost_ms;
-	if (strcmp(c->host->failure_domain, q->own_domain))
+	if (!is_own_domain(c, q))
 		cost += r->settings.cross_domain_ms +
 			r->settings.cross_domain_ms_per_kb * q->kilobytes;
 	return cost;
@@ -344,8 +341,7 @@
 			     const struct router_question *q)
 {
 	for (guint i = 0; i < candidates->len; i++)
-		if (!strcmp(candidate_at(candidates, i)->host->failure_domain,
-			    q->own_domain))
+		if (is_own_domain(candidate_at(candidates, i), q))
 			return 1;
 	return 0;
 }
@@ -363,20 +359,43 @@
 	return 0;
 }
 
+/* Keep a random sample of the own domain's hosts and one of the others. */
+static void sample(struct router *r, GArray *candidates,
+		   const struct router_question *q)
+{
+	guint left[2] = { 0, 0 }, wanted[2], kept = 0;
+
+	for (guint i = 0; i < candidates->len; i++)
+		left[is_own_domain(candidate_at(candidates, i), q)]++;
+	for (int own = 0; own < 2; own++)
+		wanted[own] = left[own] <= SAMPLE_ALL_MAX ? left[own] : SAMPLE;
+	for (guint i = 0; i < candidates->len; i++) {
+		struct candidate c = *candidate_at(candidates, i);
+		int own = is_own_domain(&c, q);
+		guint drawn = (guint)g_rand_int_range(r->random, 0,
+						      (gint)left[own]--);
+
+		/* Selection sampling: each subset is equally likely. */
+		if (drawn >= wanted[own])
+			continue;
+		wanted[own]--;
+		g_array_index(candidates, struct candidate, kept++) = c;
+	}
+	g_array_set_size(candidates, kept);
+}
+
 /* One of the cheapest hosts, at random; NULL: none is worth its cost. */
 static const struct candidate *
 cheapest(struct router *r, const GArray *candidates,
 	 const struct router_question *q)
 {
-	double mean_ms = mean_service_ms(candidates);
 	double *costs = g_new(double, candidates->len);
 	double least = HUGE_VAL;
 	const struct candidate *chosen = NULL;
 	guint32 equals = 0;
 
 	for (guint i = 0; i < candidates->len; i++) {
-		costs[i] = expected_cost(r, candidate_at(candidates, i), q,
-					 mean_ms);
+		costs[i] = expected_cost(r, candidate_at(candidates, i), q);
 		least = MIN(least, costs[i]);
 	}
 	if (least > q->remaining_ms && !serves_own_domain(candidates, q) &&
@@ -397,6 +416,7 @@
 {
 	switch (r->settings.policy) {
 	case ROUTER_COST:
+		sample(r, candidates, q);
 		return cheapest(r, candidates, q);
 	case ROUTER_RANDOM:
 		return candidate_at(candidates, (guint)g_rand_int_range(
@@ -472,6 +492,13 @@
 	return load && load->in_use + load->queued < load->slots;
 }
 
+static void note_pace(struct host_evidence *e, double pace)
+{
+	if (!pace)
+		return;
+	e->pace = e->pace ? e->pace + PACE_WEIGHT * (pace - e->pace) : pace;
+}
+
 void router_finished(struct router *r, uint64_t host, enum router_result result,
 		     uint64_t latency_us, const struct router_load *load,
 		     uint64_t now_ms)
@@ -485,6 +512,7 @@
 		e->load = *load;
 		e->load_at_ms = now_ms;
 		e->sent_since = 0;
+		note_pace(e, load->pace);
 	}
 	switch (result) {
 	case ROUTER_ANSWERED:
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -13,14 +13,14 @@
 const char text[] = "service a # A\nroute GET */ a # A\n";
 
 struct router_load load(uint32_t in_use, uint32_t queued, uint32_t slots,
-			uint32_t service_us = 0)
+			double pace = 0)
 {
 	struct router_load l = {};
 
 	l.in_use = in_use;
 	l.queued = queued;
 	l.slots = slots;
-	l.service_us = service_us;
+	l.pace = pace;
 	return l;
 }
 
@@ -65,6 +65,7 @@
 		q.excluded_count = excluded.size();
 		q.kilobytes = kilobytes;
 		q.rank = rank;
+		q.service_ms = 100;
 		q.remaining_ms = remaining_ms;
 		q.now_ms = now_ms;
 		return router_choose(router, &q, &host) ? 0 : host;
@@ -240,13 +241,13 @@
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
 
-	f.answer(1, load(4, 2, 4, 100000), 1000);
-	f.answer(2, load(0, 0, 4, 100000), 1000);
+	f.answer(1, load(4, 2, 4, 1), 1000);
+	f.answer(2, load(0, 0, 4, 1), 1000);
 	f.kilobytes = 0.5;
 	EXPECT_EQ(f.choose("x", 1000), 2u);
 	f.kilobytes = 10;
 	EXPECT_EQ(f.choose("x", 1000), 1u);
-	f.answer(1, load(4, 30, 4, 100000), 1000);
+	f.answer(1, load(4, 30, 4, 1), 1000);
 	EXPECT_EQ(f.choose("x", 1000), 2u);
 }
 
@@ -254,7 +255,7 @@
 TEST(router, failing_share_is_weighed_against_the_wait)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
-	struct router_load idle = load(0, 0, 4, 100000);
+	struct router_load idle = load(0, 0, 4, 1);
 
 	for (int i = 0; i < 30; i++) {
 		f.answer(2, idle, 1000);
@@ -265,7 +266,7 @@
 	}
 	for (int i = 0; i < 50; i++)
 		EXPECT_EQ(f.choose("x", 1000), 2u);
-	f.answer(2, load(4, 12, 4, 100000), 1000);
+	f.answer(2, load(4, 12, 4, 1), 1000);
 	EXPECT_EQ(f.choose("x", 1000), 1u);
 	/* Failures are forgotten. */
 	EXPECT_EQ(f.choose("x", 1000, { 2 }), 1u);
@@ -289,13 +290,13 @@
 TEST(router, wait_is_that_of_the_rank)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
-	struct router_load busy = load(4, 30, 4, 100000);
+	struct router_load busy = load(4, 30, 4, 1);
 
 	busy.has_waits = 1;
 	busy.waits_ms[1] = 10;
 	busy.waits_ms[2] = 900;
 	f.answer(1, busy, 1000);
-	f.answer(2, load(0, 0, 4, 100000), 1000);
+	f.answer(2, load(0, 0, 4, 1), 1000);
 	f.kilobytes = 8;
 	f.rank = 1;
 	EXPECT_EQ(f.choose("x", 1000), 1u);
