--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -57,6 +57,7 @@
 			const char *text; /* owned by the distribution */
 			size_t size;
 			uint64_t hash;
+			struct rules *rules; /* of the text; owned by the taker */
 		} apply;
 		struct diagnostic reject;
 	} u;
--- a/fescue/snapshot.h
+++ b/fescue/snapshot.h
@@ -46,6 +46,12 @@
 		    struct snapshot **out, struct diagnostic *diagnostics,
 		    size_t max, size_t *count);
 
+/* The same of rules that were parsed from the text; takes ownership of them. */
+struct snapshot *snapshot_create_parsed(uint64_t version, const char *text,
+					size_t size, struct rules *rules,
+					const struct snapshot_host *hosts,
+					size_t host_count);
+
 /* Same version and rules, other hosts. The result has one reference. */
 struct snapshot *snapshot_with_hosts(struct snapshot *snapshot,
 				     const struct snapshot_host *hosts,
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -36,6 +36,8 @@
 	int watching;
 	struct version_history history; /* the newest is in force */
 	struct version_text staged; /* checked, not yet in force */
+	struct rules *checked; /* parsed of the version checked last */
+	uint64_t checked_version;
 	GArray *pending; /* struct pending_push */
 	uint64_t push_due_ms; /* 0: none; when a further relay pushes */
 	uint64_t pushed_version; /* this domain's tree is under way */
@@ -62,6 +64,14 @@
 	return &d->history.texts[0];
 }
 
+/* The parsed rules of a version, if it was the last one checked. */
+static struct rules *take_checked(struct distribution *d, uint64_t version)
+{
+	if (d->checked_version != version)
+		return NULL;
+	return g_steal_pointer(&d->checked);
+}
+
 static void add_action(struct distribution *d,
 		       enum distribution_action_type type, uint64_t version)
 {
@@ -74,6 +84,7 @@
 		action->u.apply.text = in_force(d)->bytes;
 		action->u.apply.size = in_force(d)->size;
 		action->u.apply.hash = in_force(d)->hash;
+		action->u.apply.rules = take_checked(d, version);
 	} else if (type == DISTRIBUTION_REJECT) {
 		action->u.reject = d->rejected;
 	}
@@ -89,10 +100,12 @@
 		struct distribution_action *action =
 			g_queue_pop_head(&d->actions);
 
-		if (action->type == DISTRIBUTION_APPLY)
+		if (action->type == DISTRIBUTION_APPLY) {
+			rules_destroy(action->u.apply.rules);
 			g_free(action);
-		else
+		} else {
 			g_queue_push_tail(&d->actions, action);
+		}
 	}
 }
 
@@ -130,7 +143,9 @@
 	size_t count;
 	int error = rules_parse(text, size, &rules, &why, 1, &count);
 
-	rules_destroy(rules);
+	rules_destroy(d->checked);
+	d->checked = rules;
+	d->checked_version = version;
 	if (error)
 		reject(d, version, &why);
 	return error;
@@ -305,7 +320,7 @@
 	if (d->fetch_from &&
 	    now_ms < d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		return;
-	if (!d->settings.fetch_delay_ms || d->source_lost) {
+	if (!d->settings.fetch_delay_ms || d->source_lost || !d->watching) {
 		send_fetch(d, peer, now_ms, 0, outbox);
 	} else if (!d->behind_peer) {
 		d->behind_peer = peer;
@@ -558,7 +573,9 @@
 	if (!d)
 		return;
 	while (distribution_next_action(d, &action))
-		continue;
+		if (action.type == DISTRIBUTION_APPLY)
+			rules_destroy(action.u.apply.rules);
+	rules_destroy(d->checked);
 	version_history_clear(&d->history);
 	version_text_clear(&d->staged);
 	g_array_free(d->pending, TRUE);
--- a/src/node.c
+++ b/src/node.c
@@ -117,14 +117,21 @@
 static void apply(struct node *node, const struct distribution_action *action)
 {
 	GArray *hosts = serving_hosts(node);
+	const struct snapshot_host *list =
+		(const struct snapshot_host *)(void *)hosts->data;
+	const char *text = action->u.apply.text;
+	size_t size = action->u.apply.size, count;
 	struct snapshot *next;
 	struct diagnostic why;
-	size_t count;
-	int error = snapshot_create(
-		action->version, action->u.apply.text, action->u.apply.size,
-		(const struct snapshot_host *)(void *)hosts->data, hosts->len,
-		&next, &why, 1, &count);
+	int error = FESCUE_OK;
 
+	if (action->u.apply.rules)
+		next = snapshot_create_parsed(action->version, text, size,
+					      action->u.apply.rules, list,
+					      hosts->len);
+	else
+		error = snapshot_create(action->version, text, size, list,
+					hosts->len, &next, &why, 1, &count);
 	g_array_free(hosts, TRUE);
 	g_assert(!error); /* the distribution has checked the text */
 	swap_snapshot(node, next);
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -174,28 +174,39 @@
 	return s;
 }
 
+struct snapshot *snapshot_create_parsed(uint64_t version, const char *text,
+					size_t size, struct rules *rules,
+					const struct snapshot_host *hosts,
+					size_t host_count)
+{
+	struct compiled_rules *compiled = g_new0(struct compiled_rules, 1);
+	struct snapshot *snapshot;
+
+	compiled->refs = 1;
+	compiled->version = version;
+	compiled->hash = config_hash(text, size);
+	compiled->text = g_memdup2(text, size);
+	compiled->size = size;
+	compiled->rules = rules;
+	compiled->by_host = index_by_host(rules);
+	snapshot = snapshot_build(compiled, hosts, host_count);
+	compiled_unref(compiled);
+	return snapshot;
+}
+
 int snapshot_create(uint64_t version, const char *text, size_t size,
 		    const struct snapshot_host *hosts, size_t host_count,
 		    struct snapshot **out, struct diagnostic *diagnostics,
 		    size_t max, size_t *count)
 {
-	struct compiled_rules *compiled;
 	struct rules *rules;
 	int error = rules_parse(text, size, &rules, diagnostics, max, count);
 
 	*out = NULL;
 	if (error)
 		return error;
-	compiled = g_new0(struct compiled_rules, 1);
-	compiled->refs = 1;
-	compiled->version = version;
-	compiled->hash = config_hash(text, size);
-	compiled->text = g_memdup2(text, size);
-	compiled->size = size;
-	compiled->rules = rules;
-	compiled->by_host = index_by_host(rules);
-	*out = snapshot_build(compiled, hosts, host_count);
-	compiled_unref(compiled);
+	*out = snapshot_create_parsed(version, text, size, rules, hosts,
+				      host_count);
 	return FESCUE_OK;
 }
 
--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -198,6 +198,7 @@
 			switch (a.type) {
 			case DISTRIBUTION_APPLY:
 				apply(n, a);
+				rules_destroy(a.u.apply.rules);
 				break;
 			case DISTRIBUTION_REJECT:
 				rejected++;
