--- a/src/distribution.c
+++ b/src/distribution.c
@@ -1,10 +1,8 @@
 #include "fescue/distribution.h"
 
+#include "distribution_state.h"
 #include "fescue/error.h"
 #include "failure_domain.h"
-#include "fescue/membership.h"
-#include "packet.h"
-#include "version_text.h"
 
 #include <assert.h>
 #include <string.h>
@@ -20,50 +18,6 @@
 	.witness = 1,
 };
 
-/* A push that its receiver has not acknowledged. */
-struct pending_push {
-	uint64_t child;
-	uint64_t version;
-	uint64_t sent_ms;
-	GArray *subtree; /* uint64_t */
-};
-
-struct distribution {
-	struct distribution_settings settings;
-	const struct membership *membership;
-	uint64_t generation_seen;
-	size_t rank;
-	int watching;
-	struct version_history history; /* the newest is in force */
-	struct version_text staged; /* checked, not yet in force */
-	struct rules *checked; /* parsed of the version checked last */
-	uint64_t checked_version;
-	GArray *pending; /* struct pending_push */
-	uint64_t push_due_ms; /* 0: none; when a further relay pushes */
-	uint64_t pushed_version; /* this domain's tree is under way */
-	uint64_t fetch_from;
-	uint64_t fetch_started_ms;
-	int source_lost;
-	uint64_t behind_peer; /* has a higher version than this host */
-	uint64_t behind_version;
-	uint64_t behind_since_ms;
-	uint64_t rejected_version;
-	struct diagnostic rejected;
-	GQueue actions; /* struct distribution_action */
-};
-
-static void pending_clear(gpointer data)
-{
-	struct pending_push *pending = data;
-
-	g_array_free(pending->subtree, TRUE);
-}
-
-static const struct version_text *in_force(const struct distribution *d)
-{
-	return &d->history.texts[0];
-}
-
 /* The parsed rules of a version, if it was the last one checked. */
 static struct rules *take_checked(struct distribution *d, uint64_t version)
 {
@@ -117,13 +71,6 @@
 	add_action(d, DISTRIBUTION_APPLY, in_force(d)->version);
 }
 
-/* Highest version held, in force or staged. */
-static const struct version_text *newest(const struct distribution *d)
-{
-	return d->staged.version > in_force(d)->version ? &d->staged :
-							  in_force(d);
-}
-
 static void reject(struct distribution *d, uint64_t version,
 		   const struct diagnostic *why)
 {
@@ -151,86 +98,6 @@
 	return error;
 }
 
-static void send_text(struct distribution *d, uint64_t to,
-		      const struct version_text *text,
-		      const struct version_text *base, const uint64_t *subtree,
-		      size_t subtree_len, enum packet_purpose purpose,
-		      struct outbox *outbox)
-{
-	Fescue__Packet *packet =
-		packet_create(FESCUE__PACKET__BODY_CONFIG_PUSH);
-	Fescue__ConfigPush *push = packet->config_push;
-
-	push->version = text->version;
-	push->hash = text->hash;
-	version_text_encode(text, d->settings.deltas ? base : NULL, push);
-	push->n_subtree = subtree_len;
-	push->subtree = g_memdup2(subtree, subtree_len * sizeof(*subtree));
-	outbox_send(outbox, to, purpose, packet);
-}
-
-/*
- * The text a peer has: the version it was last heard to have in force, or
- * most likely the one in force here before.
- */
-static const struct version_text *likely_base(const struct distribution *d,
-					      uint64_t peer,
-					      const struct version_text *text)
-{
-	const struct host *host = membership_find(d->membership, peer);
-	const struct version_text *base =
-		text == &d->staged ? in_force(d) : &d->history.texts[1];
-
-	for (size_t i = 0; host && i < VERSION_HISTORY_TEXTS; i++)
-		if (host->version &&
-		    d->history.texts[i].version == host->version &&
-		    &d->history.texts[i] != text)
-			return &d->history.texts[i];
-	return base->version ? base : NULL;
-}
-
-/* Push to the first host of each of fan_out groups; the rest follow it. */
-static void push_subtree(struct distribution *d, const uint64_t *hosts,
-			 size_t n, uint64_t now_ms, struct outbox *outbox)
-{
-	const struct version_text *text = newest(d);
-	size_t groups = MIN(n, d->settings.fan_out);
-	size_t start = 0;
-
-	for (size_t g = 0; g < groups; g++) {
-		size_t len = (n - start) / (groups - g);
-		struct pending_push pending = { hosts[start], text->version,
-						now_ms, NULL };
-
-		pending.subtree = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-		g_array_append_vals(pending.subtree, hosts + start + 1,
-				    (guint)(len - 1));
-		g_array_append_val(d->pending, pending);
-		send_text(d, hosts[start], text,
-			  likely_base(d, hosts[start], text),
-			  hosts + start + 1, len - 1, PACKET_CONFIG, outbox);
-		start += len;
-	}
-}
-
-/* Start this domain's tree with the own host as its root. */
-static void push_domain(struct distribution *d, uint64_t now_ms,
-			struct outbox *outbox)
-{
-	uint64_t version = newest(d)->version;
-	GArray *hosts;
-
-	d->push_due_ms = 0;
-	if (d->pushed_version >= version ||
-	    d->settings.mode != DISTRIBUTION_RELAY)
-		return;
-	d->pushed_version = version;
-	hosts = failure_domain_hosts(d->membership, "push", version);
-	push_subtree(d, (const uint64_t *)hosts->data, hosts->len, now_ms,
-		     outbox);
-	g_array_free(hosts, TRUE);
-}
-
 /* No other host is left that could hold the version as well. */
 static int is_alone(const struct distribution *d)
 {
@@ -249,25 +116,6 @@
 		put_in_force(d, &d->staged);
 }
 
-/* A host outside the own domain witnesses when the domain has no other. */
-static void push_to_witness(struct distribution *d, uint64_t now_ms,
-			    struct outbox *outbox)
-{
-	size_t n = membership_count(d->membership);
-
-	if (d->pending->len)
-		return;
-	for (size_t i = 1; i < n; i++) {
-		const struct host *host = membership_host(
-			d->membership, 1 + (i + d->staged.version) % (n - 1));
-
-		if (!host_is_up(host))
-			continue;
-		push_subtree(d, &host->address, 1, now_ms, outbox);
-		return;
-	}
-}
-
 static void schedule_push(struct distribution *d, uint64_t now_ms,
 			  struct outbox *outbox)
 {
@@ -359,8 +207,8 @@
 {
 	uint64_t peer = d->behind_peer;
 
-	if (!peer || (!d->source_lost &&
-		      now_ms < d->behind_since_ms + fetch_delay(d)))
+	if (!peer ||
+	    (!d->source_lost && now_ms < d->behind_since_ms + fetch_delay(d)))
 		return;
 	d->behind_peer = 0;
 	if (d->behind_version > newest(d)->version)
@@ -445,15 +293,7 @@
 
 static void receive_ack(struct distribution *d, uint64_t from, uint64_t version)
 {
-	for (guint i = 0; i < d->pending->len; i++) {
-		struct pending_push *pending =
-			&g_array_index(d->pending, struct pending_push, i);
-
-		if (pending->child != from || version < pending->version)
-			continue;
-		g_array_remove_index_fast(d->pending, i);
-		break;
-	}
+	push_acknowledged(d, from, version);
 	if (d->staged.version && version >= d->staged.version)
 		commit_staged(d);
 }
@@ -465,12 +305,12 @@
 	const struct version_text *text = in_force(d);
 
 	if (text->version > fetch->have_version)
-		send_text(d, from, text,
+		push_text(d, from, text,
 			  version_history_find(&d->history, fetch->have_version,
 					       fetch->have_hash),
 			  NULL, 0, PACKET_REPAIR, outbox);
 	else if (d->staged.version > fetch->have_version)
-		send_text(d, from, &d->staged, NULL, NULL, 0, PACKET_REPAIR,
+		push_text(d, from, &d->staged, NULL, NULL, 0, PACKET_REPAIR,
 			  outbox);
 }
 
@@ -493,42 +333,6 @@
 	}
 }
 
-/* The push may have been lost: once more, for the child alone. */
-static void resend(struct distribution *d, const struct pending_push *pending,
-		   struct outbox *outbox)
-{
-	const struct version_text *text = newest(d);
-
-	if (pending->version != text->version)
-		return;
-	send_text(d, pending->child, text,
-		  likely_base(d, pending->child, text), NULL, 0, PACKET_CONFIG,
-		  outbox);
-}
-
-/* Take over the subtree of a child that did not acknowledge in time. */
-static void adopt_subtrees(struct distribution *d, uint64_t now_ms,
-			   struct outbox *outbox)
-{
-	for (guint i = 0; i < d->pending->len;) {
-		struct pending_push pending =
-			g_array_index(d->pending, struct pending_push, i);
-		GArray *subtree;
-
-		if (now_ms < pending.sent_ms + d->settings.ack_timeout_ms) {
-			i++;
-			continue;
-		}
-		subtree = g_array_ref(pending.subtree);
-		g_array_remove_index_fast(d->pending, i);
-		resend(d, &pending, outbox);
-		if (pending.version == newest(d)->version)
-			push_subtree(d, (const uint64_t *)subtree->data,
-				     subtree->len, now_ms, outbox);
-		g_array_unref(subtree);
-	}
-}
-
 static void review_role(struct distribution *d)
 {
 	uint64_t generation = membership_generation(d->membership);
@@ -562,7 +366,7 @@
 		       struct outbox *outbox)
 {
 	review_role(d);
-	adopt_subtrees(d, now_ms, outbox);
+	push_review(d, now_ms, outbox);
 	if (d->push_due_ms && now_ms >= d->push_due_ms)
 		push_domain(d, now_ms, outbox);
 	review_staged(d, now_ms, outbox);
