--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -78,8 +78,7 @@
 int admission_cancel(struct admission *admission, uint64_t ticket);
 
 /* Mean time of such a call in its slot, 0 before the first one ended. */
-uint32_t admission_service_us(const struct admission *admission,
-			      uint32_t kind);
+uint32_t admission_service_us(const struct admission *admission, uint32_t kind);
 
 /*
  * Expected time until a call of each rank that comes now would get a slot,
--- a/src/admission.c
+++ b/src/admission.c
@@ -147,7 +147,8 @@
 
 /* Expected milliseconds until a call that joins the queue now has a slot. */
 static uint64_t expected_wait_ms(const struct admission *a,
-			    const struct admission_call *call, uint64_t now_ms)
+				 const struct admission_call *call,
+				 uint64_t now_ms)
 {
 	double limit = class_limit(a, call);
 	double ahead_us = a->service_us; /* until a slot is free */
@@ -389,8 +390,8 @@
 
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		for (GList *l = a->queues[i].head; l; l = l->next)
-			us += kind_us(
-				a, ((struct admission_call *)l->data)->kind);
+			us += kind_us(a,
+				      ((struct admission_call *)l->data)->kind);
 	return (uint32_t)(us / 1000 / MAX(a->slots, 1));
 }
 
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -114,9 +114,9 @@
 static void refuse(struct backend_server *b, uint64_t to,
 		   const Fescue__CallRequest *request, const char *reason)
 {
-	Fescue__Packet *packet =
-		call_answer_create(b->admission, request->kind,
-				   request->call_id, CALL_NOT_RUN, reason);
+	Fescue__Packet *packet = call_answer_create(b->admission, request->kind,
+						    request->call_id,
+						    CALL_NOT_RUN, reason);
 
 	count(b, COUNTER_served_refused);
 	packet->call_answer->retry_after_ms = admission_wait_ms(b->admission);
@@ -425,8 +425,7 @@
 		serving_create(b, from, request);
 		break;
 	case ADMISSION_REFUSED:
-		refuse(b, from, request,
-		       admission_reason_text(reason));
+		refuse(b, from, request, admission_reason_text(reason));
 		fescue__call_request__free_unpacked(request, NULL);
 		break;
 	}
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -126,14 +126,14 @@
 	Fescue__Packet *packet;
 
 	if (!result->error && backend_shed(headers, result)) {
-		packet = call_answer_create(admission, kind, call_id, CALL_NOT_RUN,
+		packet = call_answer_create(admission, kind, call_id,
+					    CALL_NOT_RUN,
 					    "the backend server shed the call");
 		packet->call_answer->arrived = 1;
 		return packet;
 	}
 	if (!result->error && !is_unsigned(headers, result))
-		return answer_of_run(admission, headers, kind, call_id,
-				     result);
+		return answer_of_run(admission, headers, kind, call_id, result);
 	if (!result->sent)
 		return call_answer_create(
 			admission, kind, call_id, CALL_NOT_RUN,
--- a/src/call_request.c
+++ b/src/call_request.c
@@ -53,8 +53,7 @@
 	       text_is(name, "x-fescue-depth");
 }
 
-static void add(GPtrArray *headers, const char *name,
-		const char *value)
+static void add(GPtrArray *headers, const char *name, const char *value)
 {
 	struct http_text n = { name, strlen(name) };
 	struct http_text v = { value, strlen(value) };
@@ -140,8 +139,7 @@
 	packet_set_bytes(&request->body, origin->body, origin->body_size);
 	request->headers = g_new(Fescue__Header *, n + 1);
 	for (guint i = 0; i < n; i++) {
-		const Fescue__Header *h =
-			g_ptr_array_index(origin->headers, i);
+		const Fescue__Header *h = g_ptr_array_index(origin->headers, i);
 		struct http_text name = { h->name, strlen(h->name) };
 		struct http_text value = { h->value, strlen(h->value) };
 
@@ -171,8 +169,8 @@
 {
 	size_t n = request->n_headers;
 
-	request->headers = g_renew(Fescue__Header *, request->headers,
-				   n + ADDED_HEADERS);
+	request->headers =
+		g_renew(Fescue__Header *, request->headers, n + ADDED_HEADERS);
 	request->headers[n++] = header_take(HOST_NAME, request->host);
 	request->headers[n++] = header_take(SERVICE_NAME, request->service);
 	request->host = (char *)protobuf_c_empty_string;
--- a/src/caller.c
+++ b/src/caller.c
@@ -151,7 +151,7 @@
 
 	count_outcome(c, CALL_RAN);
 	call_stats_note_size(t->stats, snapshot_route(c->snapshot, c->route),
-			answer->body.len);
+			     answer->body.len);
 	review_connection(t, c->exchange);
 	call_reply_answer(c->exchange, t->links->headers, answer,
 			  call_origin_header(&c->origin,
--- a/src/connect_probe.c
+++ b/src/connect_probe.c
@@ -79,11 +79,9 @@
 	uv_read_start((uv_stream_t *)&probe->tcp, on_alloc, on_read);
 }
 
-void connect_probe_start(uv_loop_t *loop, struct address address,
-			 uint32_t timeout_ms,
-			 void (*done)(void *data,
-				      enum connect_probe_result result),
-			 void *data)
+void connect_probe_start(
+	uv_loop_t *loop, struct address address, uint32_t timeout_ms,
+	void (*done)(void *data, enum connect_probe_result result), void *data)
 {
 	struct connect_probe *probe = g_new0(struct connect_probe, 1);
 	struct sockaddr_in in = address_to_sockaddr(address);
--- a/src/connect_probe.h
+++ b/src/connect_probe.h
@@ -16,10 +16,8 @@
 };
 
 /* done is called once, later, from the loop. */
-void connect_probe_start(uv_loop_t *loop, struct address address,
-			 uint32_t timeout_ms,
-			 void (*done)(void *data,
-				      enum connect_probe_result result),
-			 void *data);
+void connect_probe_start(
+	uv_loop_t *loop, struct address address, uint32_t timeout_ms,
+	void (*done)(void *data, enum connect_probe_result result), void *data);
 
 #endif
--- a/src/failure_domain.c
+++ b/src/failure_domain.c
@@ -34,10 +34,9 @@
 
 	for (size_t i = 0; i < membership_count(membership); i++) {
 		const struct host *host = membership_host(membership, i);
-		struct weighted_host entry = {
-			host->address, 0,
-			host_weight(host->address, purpose, salt)
-		};
+		struct weighted_host entry = { host->address, 0,
+					       host_weight(host->address,
+							   purpose, salt) };
 
 		if (is_neighbour(self, host))
 			g_array_append_val(hosts, entry);
@@ -61,10 +60,9 @@
 
 	for (size_t i = 0; i < membership_count(membership); i++) {
 		const struct host *host = membership_host(membership, i);
-		struct weighted_host entry = {
-			host->address, host->capacity,
-			host_weight(host->address, purpose, 0)
-		};
+		struct weighted_host entry = { host->address, host->capacity,
+					       host_weight(host->address,
+							   purpose, 0) };
 
 		if (is_neighbour(self, host) &&
 		    compare_weights(&entry, &own) < 0)
--- a/src/header_codec.c
+++ b/src/header_codec.c
@@ -26,8 +26,8 @@
 {
 	struct header_encoder *e = g_new0(struct header_encoder, 1);
 
-	e->numbers = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					   NULL);
+	e->numbers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	e->next = 1;
 	return e;
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -23,7 +23,7 @@
 
 static const char *const modes[] = { "relay", "gossip", "poll", NULL };
 static const char *const router_policies[] = { "cost", "two-choices", "random",
-					      NULL };
+					       NULL };
 static const char *const admission_policies[] = { "classes", "fifo", NULL };
 
 static const char *const interfaces[] = { "fescue", "platform", NULL };
--- a/src/router.c
+++ b/src/router.c
@@ -321,8 +321,8 @@
 	const struct host_evidence *e = c->evidence;
 	double mean_ms = q->service_ms ? q->service_ms : SERVICE_INITIAL_MS;
 	double service = mean_ms * aged_pace(r, e, q->now_ms);
-	double slots = MAX(c->host->slots, 1) *
-		       slow_start_share(r, e, q->now_ms);
+	double slots =
+		MAX(c->host->slots, 1) * slow_start_share(r, e, q->now_ms);
 	double load = MAX((double)e->outstanding,
 			  aged_load(r, e, q->now_ms) + e->sent_since);
 	double crowding = MIN(load / slots, 1.0);
@@ -385,9 +385,9 @@
 }
 
 /* One of the cheapest hosts, at random; NULL: none is worth its cost. */
-static const struct candidate *
-cheapest(struct router *r, const GArray *candidates,
-	 const struct router_question *q)
+static const struct candidate *cheapest(struct router *r,
+					const GArray *candidates,
+					const struct router_question *q)
 {
 	double *costs = g_new(double, candidates->len);
 	double least = HUGE_VAL;
--- a/src/settings.c
+++ b/src/settings.c
@@ -34,7 +34,8 @@
 	json_int_t number = (json_int_t)real;
 
 	/* Some writers give whole numbers a fraction of .0. */
-	if (!json_is_number(value) || real != (double)number || number < s->min || number > s->max)
+	if (!json_is_number(value) || real != (double)number ||
+	    number < s->min || number > s->max)
 		return fail(r,
 			    "%s: key '%s': expected a whole number from %u to "
 			    "%u; correct the value",
--- a/src/transport.c
+++ b/src/transport.c
@@ -112,8 +112,7 @@
 static int link_decode(struct link *link, Fescue__Packet *packet)
 {
 	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
-		return call_request_decode(link->decoder,
-					   packet->call_request);
+		return call_request_decode(link->decoder, packet->call_request);
 	if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
 		return header_decode(link->decoder,
 				     packet->call_answer->headers,
--- a/src/version_text.c
+++ b/src/version_text.c
@@ -126,8 +126,8 @@
 {
 	const struct version_text *base = version_history_find(
 		history, push->base_version, push->base_hash);
-	struct delta delta = { push->prefix_bytes, push->suffix_bytes,
-			       body, size };
+	struct delta delta = { push->prefix_bytes, push->suffix_bytes, body,
+			       size };
 
 	if (!base || delta_apply(base->bytes, base->size, &delta, &out->bytes,
 				 &out->size))
--- a/test/test_header_codec.cc
+++ b/test/test_header_codec.cc
@@ -55,8 +55,8 @@
 		EXPECT_EQ(header_decode(decoder, r->headers, r->n_headers),
 			  FESCUE_OK);
 		for (size_t i = 0; i < r->n_headers; i++)
-			out.push_back({ r->headers[i]->name,
-					r->headers[i]->value });
+			out.push_back(
+				{ r->headers[i]->name, r->headers[i]->value });
 		packet_destroy(packet);
 		return out;
 	}
