--- /dev/null
+++ b/src/backend_calls.c
@@ -0,0 +1,182 @@
+#include "backend_state.h"
+#include "call_answer.h"
+
+#include <string.h>
+
+/* How long a node that lost its link has to ask for its calls. */
+#define ORPHAN_MS 2500
+
+static struct serving *find_serving(struct backend_server *b, uint64_t from,
+				    uint64_t call_id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->servings);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct serving *s = value;
+
+		if (s->from == from && s->request->call_id == call_id)
+			return s;
+	}
+	return NULL;
+}
+
+static enum admission_verdict offer(struct backend_server *b,
+				    const Fescue__CallRequest *request,
+				    enum admission_reason *reason)
+{
+	uint64_t now = backend_now_ms(b);
+	struct admission_call call = {
+		.ticket = b->next_ticket + 1,
+		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
+						    CALL_CLASS_URGENT,
+		.rank = request->rank,
+		.kind = request->kind,
+		.due_ms = now + request->latency_ms,
+		.deadline_ms = now + request->deadline_ms,
+		.queue_until_ms = now + request->queue_ms,
+		.queue = request->queue,
+		.reserve_percent = MIN(request->reserve_percent, 90),
+	};
+
+	if (!b->pool || b->unreachable ||
+	    strcmp(request->service, b->record.current.service)) {
+		*reason = ADMISSION_NO_BACKEND;
+		return ADMISSION_REFUSED;
+	}
+	return admission_offer(b->admission, &call, now, reason);
+}
+
+void backend_server_call(struct backend_server *b, uint64_t from,
+			 Fescue__CallRequest *request)
+{
+	enum admission_reason reason;
+	void *answer;
+
+	/* A request that was overtaken by its query has been barred. */
+	if (answer_memory_find(b->memory, from, request->call_id, &answer) !=
+	    ANSWER_UNKNOWN) {
+		fescue__call_request__free_unpacked(request, NULL);
+		return;
+	}
+	switch (offer(b, request, &reason)) {
+	case ADMISSION_RUN:
+		serving_begin(serving_create(b, from, request));
+		break;
+	case ADMISSION_QUEUED:
+		serving_create(b, from, request);
+		break;
+	case ADMISSION_REFUSED:
+		backend_refuse(b, from, request, admission_reason_text(reason));
+		fescue__call_request__free_unpacked(request, NULL);
+		break;
+	}
+}
+
+/* The caller gave up. A call with effects must not be cut half-way. */
+static void cancel_serving(struct serving *s)
+{
+	if (s->state == SERVING_REPORTING ||
+	    (s->state == SERVING_RUNNING && !s->request->idempotent))
+		return;
+	serving_end(s);
+}
+
+void backend_server_cancel(struct backend_server *b, uint64_t from,
+			   uint64_t call_id)
+{
+	struct serving *s = find_serving(b, from, call_id);
+
+	if (s)
+		cancel_serving(s);
+	else
+		answer_memory_bar(b->memory, from, call_id, backend_now_ms(b));
+}
+
+void backend_server_query(struct backend_server *b, uint64_t from,
+			  uint64_t call_id)
+{
+	struct serving *s = find_serving(b, from, call_id);
+	Fescue__Packet *packet;
+	void *answer;
+	size_t size;
+
+	if (s) {
+		s->orphan_since_ms = 0;
+		packet = packet_create(FESCUE__PACKET__BODY_CALL_RUNNING);
+		packet->call_running->call_id = call_id;
+		task_send(b->links, from, packet);
+		return;
+	}
+	if (answer_memory_find(b->memory, from, call_id, &answer) ==
+	    ANSWER_KEPT) {
+		task_send(b->links, from, packet_copy(answer, &size));
+		return;
+	}
+	answer_memory_bar(b->memory, from, call_id, backend_now_ms(b));
+	task_send(b->links, from,
+		  call_answer_create(b->admission, 0, call_id, CALL_NOT_RUN,
+				     "the request never arrived"));
+}
+
+void backend_server_peer_gone(struct backend_server *b, uint64_t peer)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, b->servings);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct serving *s = value;
+
+		if (s->from == peer && !s->orphan_since_ms)
+			s->orphan_since_ms = backend_now_ms(b);
+	}
+}
+
+/* Tickets, because ending one serving may end others. */
+static GArray *collect_tickets(const struct backend_server *b)
+{
+	GArray *tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, b->servings);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_array_append_vals(tickets, key, 1);
+	return tickets;
+}
+
+/* Hand queued calls back, so that their nodes send them elsewhere. */
+void backend_return_queued(struct backend_server *b, const char *reason)
+{
+	GArray *tickets = collect_tickets(b);
+
+	for (guint i = 0; i < tickets->len; i++) {
+		uint64_t ticket = g_array_index(tickets, uint64_t, i);
+		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
+
+		if (!s || s->state != SERVING_QUEUED)
+			continue;
+		admission_cancel(b->admission, ticket);
+		backend_refuse(b, s->from, s->request, reason);
+		g_hash_table_remove(b->servings, &ticket);
+	}
+	g_array_free(tickets, TRUE);
+}
+
+/* Calls whose node did not come back for them. */
+void backend_expire_orphans(struct backend_server *b)
+{
+	GArray *tickets = collect_tickets(b);
+
+	for (guint i = 0; i < tickets->len; i++) {
+		uint64_t ticket = g_array_index(tickets, uint64_t, i);
+		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
+
+		if (s && s->orphan_since_ms &&
+		    backend_now_ms(b) >= s->orphan_since_ms + ORPHAN_MS)
+			cancel_serving(s);
+	}
+	g_array_free(tickets, TRUE);
+}
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -1,10 +1,8 @@
-#include "backend_server.h"
+#include "backend_state.h"
 
 #include "call_answer.h"
 #include "events.h"
-#include "fescue/answer_memory.h"
 #include "fescue/error.h"
-#include "http_client.h"
 #include "log.h"
 
 #include <inttypes.h>
@@ -18,54 +16,6 @@
  * for longer: the backend server may just be closing it.
  */
 #define IDLE_UNSAFE_MS 2000
-/* How long a node that lost its link has to ask for its calls. */
-#define ORPHAN_MS 2500
-
-enum serving_state {
-	SERVING_QUEUED,
-	SERVING_RUNNING, /* holds a slot */
-	SERVING_REPORTING, /* holds a slot; others are told of its crash */
-};
-
-/* One call that was sent to this node's backend server. */
-struct serving {
-	struct backend_server *backend;
-	uint64_t ticket;
-	uint64_t from;
-	Fescue__CallRequest *request;
-	enum serving_state state;
-	uint64_t deadline_ms;
-	uint64_t started_us;
-	uint64_t orphan_since_ms; /* 0: the link with its node stands */
-	struct http_call *http;
-	uint64_t fingerprint;
-	Fescue__Packet *answer; /* of a run that has ended */
-};
-
-struct backend_server {
-	const struct task_links *links;
-	struct backend_server_settings settings;
-	struct admission *admission;
-	struct announcement_record record;
-	struct answer_memory *memory;
-	struct http_pool *pool; /* NULL: there is no backend server */
-	uint64_t expires_ms;
-	uint64_t announce_at_ms; /* the host itself is known by then */
-	int unreachable; /* connections fail, until the next heartbeat */
-	int draining; /* the node itself is stopping */
-	uint64_t next_ticket;
-	GHashTable *servings; /* ticket -> struct serving */
-};
-
-static uint64_t now_ms(const struct backend_server *b)
-{
-	return task_now_ms(b->links);
-}
-
-static void count(struct backend_server *b, enum counter counter)
-{
-	b->links->counters->values[counter]++;
-}
 
 static void serving_free(gpointer p)
 {
@@ -83,7 +33,7 @@
 	packet_destroy(answer);
 }
 
-static Fescue__Packet *packet_copy(const Fescue__Packet *packet, size_t *size)
+Fescue__Packet *packet_copy(const Fescue__Packet *packet, size_t *size)
 {
 	uint8_t *bytes;
 	Fescue__Packet *copy;
@@ -106,19 +56,19 @@
 	if (to != b->links->own) {
 		copy = packet_copy(packet, &size);
 		answer_memory_keep(b->memory, to, packet->call_answer->call_id,
-				   copy, size, now_ms(b));
+				   copy, size, backend_now_ms(b));
 	}
 	task_send(b->links, to, packet);
 }
 
-static void refuse(struct backend_server *b, uint64_t to,
-		   const Fescue__CallRequest *request, const char *reason)
+void backend_refuse(struct backend_server *b, uint64_t to,
+		    const Fescue__CallRequest *request, const char *reason)
 {
 	Fescue__Packet *packet = call_answer_create(b->admission, request->kind,
 						    request->call_id,
 						    CALL_NOT_RUN, reason);
 
-	count(b, COUNTER_served_refused);
+	backend_count(b, COUNTER_served_refused);
 	packet->call_answer->retry_after_ms = admission_wait_ms(b->admission);
 	send_answer(b, to, packet);
 }
@@ -126,7 +76,7 @@
 static void start_next(struct backend_server *b);
 
 /* The call is over: free its slot if it holds one, then start the next. */
-static void serving_end(struct serving *s)
+void serving_end(struct serving *s)
 {
 	struct backend_server *b = s->backend;
 	uint64_t spent_us = monotonic_clock_us() - s->started_us;
@@ -163,7 +113,7 @@
 	struct backend_server *b = s->backend;
 
 	if (quarantine_refuses(b->settings.quarantine, s->fingerprint,
-			       now_ms(b)))
+			       backend_now_ms(b)))
 		s->answer->call_answer->final = 1;
 	finish_run(s);
 }
@@ -172,7 +122,7 @@
 static void publish(struct backend_server *b)
 {
 	const struct announcement *current = &b->record.current;
-	int known = now_ms(b) >= b->announce_at_ms;
+	int known = backend_now_ms(b) >= b->announce_at_ms;
 	struct backend_state state = {
 		.service = b->pool && known ? current->service : "",
 		.slots = admission_slots(b->admission),
@@ -199,7 +149,7 @@
 			  const struct http_result *result)
 {
 	if (result->error)
-		count(b, COUNTER_backend_failures);
+		backend_count(b, COUNTER_backend_failures);
 	if (result->error && !result->sent)
 		note_unreachable(b, "connections fail");
 	else if (!result->error && result->status == 421)
@@ -218,7 +168,7 @@
 	review_result(b, result);
 	if (!result->error)
 		quarantine_clear(b->settings.quarantine, s->fingerprint,
-				 now_ms(b));
+				 backend_now_ms(b));
 	if (s->answer->call_answer->suspect && b->pool) {
 		s->state = SERVING_REPORTING;
 		crash_reports_begin(b->settings.crashes,
@@ -276,7 +226,7 @@
 		.headers = headers,
 		.body = r->body.data,
 		.body_size = r->body.len,
-		.timeout_ms = (uint32_t)(s->deadline_ms - now_ms(b)),
+		.timeout_ms = (uint32_t)(s->deadline_ms - backend_now_ms(b)),
 		.echo_name = b->links->headers->request_id,
 		.echo = find_request_id(s),
 		.idle_max_ms = r->idempotent ? 0 : IDLE_UNSAFE_MS,
@@ -285,7 +235,7 @@
 	g_snprintf(remaining, sizeof(remaining), "%u", http.timeout_ms);
 	http.header_count = fill_headers(s, remaining, headers);
 	s->state = SERVING_RUNNING;
-	count(b, COUNTER_served_runs);
+	backend_count(b, COUNTER_served_runs);
 	s->http = http_pool_send(b->pool, &http, on_backend_answer, s);
 	g_free(headers);
 }
@@ -299,25 +249,25 @@
 		"the request crashed two backend servers; correct it");
 
 	packet->call_answer->final = 1;
-	count(b, COUNTER_quarantine_refused);
+	backend_count(b, COUNTER_quarantine_refused);
 	send_answer(b, s->from, packet);
 	serving_end(s);
 }
 
 /* A call that holds a slot begins, unless its time ran out meanwhile. */
-static void begin(struct serving *s)
+void serving_begin(struct serving *s)
 {
 	struct backend_server *b = s->backend;
 
 	s->state = SERVING_RUNNING;
 	s->started_us = monotonic_clock_us();
-	if (now_ms(b) >= s->deadline_ms || !b->pool) {
-		refuse(b, s->from, s->request,
-		       b->pool ? "the deadline passed in the queue" :
-				 "the backend server is gone");
+	if (backend_now_ms(b) >= s->deadline_ms || !b->pool) {
+		backend_refuse(b, s->from, s->request,
+			       b->pool ? "the deadline passed in the queue" :
+					 "the backend server is gone");
 		serving_end(s);
 	} else if (quarantine_refuses(b->settings.quarantine, s->fingerprint,
-				      now_ms(b))) {
+				      backend_now_ms(b))) {
 		refuse_poisonous(s);
 	} else {
 		run(s);
@@ -330,23 +280,23 @@
 	struct serving *s;
 	uint64_t ticket;
 
-	while ((verdict = admission_next(b->admission, now_ms(b), &ticket)) !=
-	       ADMISSION_QUEUED) {
+	while ((verdict = admission_next(b->admission, backend_now_ms(b),
+					 &ticket)) != ADMISSION_QUEUED) {
 		s = g_hash_table_lookup(b->servings, &ticket);
 		g_assert(s);
 		if (verdict == ADMISSION_RUN) {
-			begin(s);
+			serving_begin(s);
 			continue;
 		}
-		count(b, COUNTER_served_expired);
-		refuse(b, s->from, s->request,
-		       "the deadline passed in the queue");
+		backend_count(b, COUNTER_served_expired);
+		backend_refuse(b, s->from, s->request,
+			       "the deadline passed in the queue");
 		g_hash_table_remove(b->servings, &ticket);
 	}
 }
 
-static struct serving *serving_create(struct backend_server *b, uint64_t from,
-				      Fescue__CallRequest *request)
+struct serving *serving_create(struct backend_server *b, uint64_t from,
+			       Fescue__CallRequest *request)
 {
 	struct serving *s = g_new0(struct serving, 1);
 
@@ -354,7 +304,7 @@
 	s->ticket = ++b->next_ticket;
 	s->from = from;
 	s->request = request;
-	s->deadline_ms = now_ms(b) + request->deadline_ms;
+	s->deadline_ms = backend_now_ms(b) + request->deadline_ms;
 	s->fingerprint = quarantine_fingerprint(request->service,
 						request->method, request->path,
 						request->body.data,
@@ -363,165 +313,6 @@
 	return s;
 }
 
-static struct serving *find_serving(struct backend_server *b, uint64_t from,
-				    uint64_t call_id)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, b->servings);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct serving *s = value;
-
-		if (s->from == from && s->request->call_id == call_id)
-			return s;
-	}
-	return NULL;
-}
-
-static enum admission_verdict offer(struct backend_server *b,
-				    const Fescue__CallRequest *request,
-				    enum admission_reason *reason)
-{
-	uint64_t now = now_ms(b);
-	struct admission_call call = {
-		.ticket = b->next_ticket + 1,
-		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
-						    CALL_CLASS_URGENT,
-		.rank = request->rank,
-		.kind = request->kind,
-		.due_ms = now + request->latency_ms,
-		.deadline_ms = now + request->deadline_ms,
-		.queue_until_ms = now + request->queue_ms,
-		.queue = request->queue,
-		.reserve_percent = MIN(request->reserve_percent, 90),
-	};
-
-	if (!b->pool || b->unreachable ||
-	    strcmp(request->service, b->record.current.service)) {
-		*reason = ADMISSION_NO_BACKEND;
-		return ADMISSION_REFUSED;
-	}
-	return admission_offer(b->admission, &call, now, reason);
-}
-
-void backend_server_call(struct backend_server *b, uint64_t from,
-			 Fescue__CallRequest *request)
-{
-	enum admission_reason reason;
-	void *answer;
-
-	/* A request that was overtaken by its query has been barred. */
-	if (answer_memory_find(b->memory, from, request->call_id, &answer) !=
-	    ANSWER_UNKNOWN) {
-		fescue__call_request__free_unpacked(request, NULL);
-		return;
-	}
-	switch (offer(b, request, &reason)) {
-	case ADMISSION_RUN:
-		begin(serving_create(b, from, request));
-		break;
-	case ADMISSION_QUEUED:
-		serving_create(b, from, request);
-		break;
-	case ADMISSION_REFUSED:
-		refuse(b, from, request, admission_reason_text(reason));
-		fescue__call_request__free_unpacked(request, NULL);
-		break;
-	}
-}
-
-/* The caller gave up. A call with effects must not be cut half-way. */
-static void cancel_serving(struct serving *s)
-{
-	if (s->state == SERVING_REPORTING ||
-	    (s->state == SERVING_RUNNING && !s->request->idempotent))
-		return;
-	serving_end(s);
-}
-
-void backend_server_cancel(struct backend_server *b, uint64_t from,
-			   uint64_t call_id)
-{
-	struct serving *s = find_serving(b, from, call_id);
-
-	if (s)
-		cancel_serving(s);
-	else
-		answer_memory_bar(b->memory, from, call_id, now_ms(b));
-}
-
-void backend_server_query(struct backend_server *b, uint64_t from,
-			  uint64_t call_id)
-{
-	struct serving *s = find_serving(b, from, call_id);
-	Fescue__Packet *packet;
-	void *answer;
-	size_t size;
-
-	if (s) {
-		s->orphan_since_ms = 0;
-		packet = packet_create(FESCUE__PACKET__BODY_CALL_RUNNING);
-		packet->call_running->call_id = call_id;
-		task_send(b->links, from, packet);
-		return;
-	}
-	if (answer_memory_find(b->memory, from, call_id, &answer) ==
-	    ANSWER_KEPT) {
-		task_send(b->links, from, packet_copy(answer, &size));
-		return;
-	}
-	answer_memory_bar(b->memory, from, call_id, now_ms(b));
-	task_send(b->links, from,
-		  call_answer_create(b->admission, 0, call_id, CALL_NOT_RUN,
-				     "the request never arrived"));
-}
-
-void backend_server_peer_gone(struct backend_server *b, uint64_t peer)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, b->servings);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct serving *s = value;
-
-		if (s->from == peer && !s->orphan_since_ms)
-			s->orphan_since_ms = now_ms(b);
-	}
-}
-
-/* Tickets, because ending one serving may end others. */
-static GArray *collect_tickets(const struct backend_server *b)
-{
-	GArray *tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, b->servings);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		g_array_append_vals(tickets, key, 1);
-	return tickets;
-}
-
-/* Hand queued calls back, so that their nodes send them elsewhere. */
-static void return_queued(struct backend_server *b, const char *reason)
-{
-	GArray *tickets = collect_tickets(b);
-
-	for (guint i = 0; i < tickets->len; i++) {
-		uint64_t ticket = g_array_index(tickets, uint64_t, i);
-		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
-
-		if (!s || s->state != SERVING_QUEUED)
-			continue;
-		admission_cancel(b->admission, ticket);
-		refuse(b, s->from, s->request, reason);
-		g_hash_table_remove(b->servings, &ticket);
-	}
-	g_array_free(tickets, TRUE);
-}
-
 static void release_pool(struct backend_server *b)
 {
 	http_pool_release(b->pool);
@@ -547,7 +338,7 @@
 	log_state("backend server %s of %s is leaving", b->record.current.id,
 		  b->record.current.service);
 	publish(b);
-	return_queued(b, "the backend server is leaving");
+	backend_return_queued(b, "the backend server is leaving");
 }
 
 void backend_server_announce(struct backend_server *b,
@@ -570,9 +361,9 @@
 			replace_backend(b);
 		break;
 	}
-	count(b, COUNTER_backend_announcements);
+	backend_count(b, COUNTER_backend_announcements);
 	b->unreachable = 0;
-	b->expires_ms = now_ms(b) + ANNOUNCEMENT_TTL_MS;
+	b->expires_ms = backend_now_ms(b) + ANNOUNCEMENT_TTL_MS;
 	admission_set_slots(b->admission, announcement->slots);
 	publish(b);
 	review_leaving(b, before);
@@ -592,42 +383,26 @@
 
 static void expire_announcement(struct backend_server *b)
 {
-	if (!b->pool || now_ms(b) < b->expires_ms)
+	if (!b->pool || backend_now_ms(b) < b->expires_ms)
 		return;
 	log_state("backend server of %s no longer announces itself",
 		  b->record.current.service);
-	count(b, COUNTER_backend_expired);
+	backend_count(b, COUNTER_backend_expired);
 	release_pool(b);
 	admission_set_slots(b->admission, 0);
 	publish(b);
-	return_queued(b, "the backend server is gone");
-}
-
-/* Calls whose node did not come back for them. */
-static void expire_orphans(struct backend_server *b)
-{
-	GArray *tickets = collect_tickets(b);
-
-	for (guint i = 0; i < tickets->len; i++) {
-		uint64_t ticket = g_array_index(tickets, uint64_t, i);
-		struct serving *s = g_hash_table_lookup(b->servings, &ticket);
-
-		if (s && s->orphan_since_ms &&
-		    now_ms(b) >= s->orphan_since_ms + ORPHAN_MS)
-			cancel_serving(s);
-	}
-	g_array_free(tickets, TRUE);
+	backend_return_queued(b, "the backend server is gone");
 }
 
 void backend_server_tick(struct backend_server *b)
 {
 	expire_announcement(b);
-	if (b->announce_at_ms && now_ms(b) >= b->announce_at_ms) {
+	if (b->announce_at_ms && backend_now_ms(b) >= b->announce_at_ms) {
 		b->announce_at_ms = 0;
 		publish(b);
 	}
-	expire_orphans(b);
-	answer_memory_expire(b->memory, now_ms(b));
+	backend_expire_orphans(b);
+	answer_memory_expire(b->memory, backend_now_ms(b));
 	start_next(b);
 }
 
@@ -635,7 +410,7 @@
 {
 	b->draining = 1;
 	publish(b);
-	return_queued(b, "the node is stopping");
+	backend_return_queued(b, "the node is stopping");
 }
 
 struct backend_server *
--- /dev/null
+++ b/src/backend_state.h
@@ -0,0 +1,79 @@
+/*
+ * The state behind a backend server and the calls sent to it.
+ */
+#ifndef FESCUE_BACKEND_STATE_H
+#define FESCUE_BACKEND_STATE_H
+
+#include "backend_server.h"
+#include "fescue/answer_memory.h"
+#include "http_client.h"
+
+enum serving_state {
+	SERVING_QUEUED,
+	SERVING_RUNNING, /* holds a slot */
+	SERVING_REPORTING, /* holds a slot; others are told of its crash */
+};
+
+/* One call that was sent to this node's backend server. */
+struct serving {
+	struct backend_server *backend;
+	uint64_t ticket;
+	uint64_t from;
+	Fescue__CallRequest *request;
+	enum serving_state state;
+	uint64_t deadline_ms;
+	uint64_t started_us;
+	uint64_t orphan_since_ms; /* 0: the link with its node stands */
+	struct http_call *http;
+	uint64_t fingerprint;
+	Fescue__Packet *answer; /* of a run that has ended */
+};
+
+struct backend_server {
+	const struct task_links *links;
+	struct backend_server_settings settings;
+	struct admission *admission;
+	struct announcement_record record;
+	struct answer_memory *memory;
+	struct http_pool *pool; /* NULL: there is no backend server */
+	uint64_t expires_ms;
+	uint64_t announce_at_ms; /* the host itself is known by then */
+	int unreachable; /* connections fail, until the next heartbeat */
+	int draining; /* the node itself is stopping */
+	uint64_t next_ticket;
+	GHashTable *servings; /* ticket -> struct serving */
+};
+
+static inline uint64_t backend_now_ms(const struct backend_server *b)
+{
+	return task_now_ms(b->links);
+}
+
+static inline void backend_count(struct backend_server *b, enum counter counter)
+{
+	b->links->counters->values[counter]++;
+}
+
+/* Copy of a packet; *size is its packed size. */
+Fescue__Packet *packet_copy(const Fescue__Packet *packet, size_t *size);
+
+void backend_refuse(struct backend_server *backend, uint64_t to,
+		    const Fescue__CallRequest *request, const char *reason);
+
+/* A call from a node, not yet admitted; takes ownership of the request. */
+struct serving *serving_create(struct backend_server *backend, uint64_t from,
+			       Fescue__CallRequest *request);
+
+/* A call that holds a slot begins, unless its time ran out meanwhile. */
+void serving_begin(struct serving *serving);
+
+/* The call is over: free its slot if it holds one, then start the next. */
+void serving_end(struct serving *serving);
+
+/* Hand queued calls back, so that their nodes send them elsewhere. */
+void backend_return_queued(struct backend_server *backend, const char *reason);
+
+/* Cancel calls whose node did not come back for them. */
+void backend_expire_orphans(struct backend_server *backend);
+
+#endif
--- a/src/caller.c
+++ b/src/caller.c
@@ -1,8 +1,6 @@
-#include "caller.h"
+#include "caller_state.h"
 
 #include "call_reply.h"
-#include "call_request.h"
-#include "call_stats.h"
 #include "events.h"
 #include "fescue/error.h"
 #include "log.h"
@@ -10,7 +8,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define TRIED_MAX (RULES_RETRIES_MAX + 1 + RETRY_MOVES_MAX + 1)
 #define DEPTH_MAX 16
 /*
  * A call that gets no slot in this part of its time is refused, so that its
@@ -20,66 +17,9 @@
 #define EVIDENCE_IDLE_MS 600000
 /* For the target's own expiry to answer before the entry node does. */
 #define DEADLINE_GRACE_MS 75
-/* A host that was asked what became of a call answers within this time. */
-#define QUERY_TIMEOUT_MS 1500
 /* Ids of two incarnations of a node must differ. */
 #define ID_INCARNATION_SHIFT 20
 
-enum attempt_state {
-	ATTEMPT_NONE,
-	ATTEMPT_SENT,
-	ATTEMPT_ASKED, /* the link broke; its host was asked about it */
-};
-
-/* One call of a caller, from its request to its answer. */
-struct call {
-	struct caller_table *callers;
-	struct http_exchange *exchange;
-	struct snapshot *snapshot; /* the version it entered under */
-	struct route_handle route;
-	uint32_t part; /* of the route, which serves it */
-	struct contract contract;
-	struct call_origin origin;
-	uint64_t entered_ms;
-	uint64_t deadline_ms;
-	uint64_t queue_until_ms; /* it is refused if it still waits for a slot */
-	uint64_t entered_us;
-	uint32_t arrivals; /* attempts that backend servers have seen */
-	uint32_t moves; /* attempts that none has seen */
-	uint32_t tried_count;
-	uint64_t tried[TRIED_MAX];
-	enum attempt_state state;
-	uint64_t attempt_id; /* 0 between attempts */
-	uint64_t attempt_us;
-	uint64_t asked_ms;
-	enum call_outcome outcome; /* of all attempts that ended */
-	uint32_t retry_after_ms; /* the least that a refusing host named */
-	Fescue__CallAnswer *fallback; /* a failure that a repeat may better */
-	uv_timer_t timer;
-};
-
-struct caller_table {
-	const struct task_links *links;
-	struct caller_settings settings;
-	struct router *router;
-	GRand *random;
-	struct call_stats *stats;
-	struct retry_budget budget;
-	uint64_t next_id;
-	GHashTable *attempts; /* id -> struct call */
-	size_t calls;
-};
-
-static uint64_t now_ms(const struct caller_table *t)
-{
-	return task_now_ms(t->links);
-}
-
-static void count(struct caller_table *t, enum counter counter)
-{
-	t->links->counters->values[counter]++;
-}
-
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct call *c = handle->data;
@@ -99,13 +39,8 @@
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
-static uint64_t last_tried(const struct call *c)
-{
-	return c->tried[c->tried_count - 1];
-}
-
-static void end_attempt(struct call *c, enum router_result result,
-			const struct router_load *load)
+void call_end_attempt(struct call *c, enum router_result result,
+		      const struct router_load *load)
 {
 	struct caller_table *t = c->callers;
 
@@ -114,8 +49,9 @@
 	g_hash_table_remove(t->attempts, &c->attempt_id);
 	c->attempt_id = 0;
 	c->state = ATTEMPT_NONE;
-	router_finished(t->router, last_tried(c), result,
-			monotonic_clock_us() - c->attempt_us, load, now_ms(t));
+	router_finished(t->router, call_last_tried(c), result,
+			monotonic_clock_us() - c->attempt_us, load,
+			caller_now_ms(t));
 }
 
 static void count_outcome(struct call *c, enum call_outcome outcome)
@@ -184,7 +120,7 @@
 
 static uint32_t remaining_ms(const struct call *c, uint64_t until_ms)
 {
-	uint64_t now = now_ms(c->callers);
+	uint64_t now = caller_now_ms(c->callers);
 
 	return until_ms > now ? (uint32_t)(until_ms - now) : 0;
 }
@@ -223,8 +159,8 @@
 	c->attempt_us = monotonic_clock_us();
 	c->state = ATTEMPT_SENT;
 	g_hash_table_insert(t->attempts, &c->attempt_id, c);
-	router_started(t->router, host, now_ms(t));
-	count(t, COUNTER_attempts);
+	router_started(t->router, host, caller_now_ms(t));
+	caller_count(t, COUNTER_attempts);
 	task_send(t->links, host, create_request(c));
 }
 
@@ -243,7 +179,7 @@
 		.kilobytes = call_stats_kilobytes(
 			t->stats, snapshot_route(c->snapshot, c->route)),
 		.remaining_ms = remaining_ms(c, c->deadline_ms),
-		.now_ms = now_ms(t),
+		.now_ms = caller_now_ms(t),
 	};
 
 	if (c->tried_count == TRIED_MAX ||
@@ -278,15 +214,15 @@
 	question.moves = c->moves;
 	question.remaining_ms = remaining_ms(c, c->deadline_ms);
 	if (retry_allow(&t->budget, &question)) {
-		count(t, COUNTER_retries);
+		caller_count(t, COUNTER_retries);
 		return 1;
 	}
-	count(t, COUNTER_retries_denied);
+	caller_count(t, COUNTER_retries_denied);
 	return 0;
 }
 
-static void attempt_failed(struct call *c, const struct retry_question *ended,
-			   const char *reason)
+void call_attempt_failed(struct call *c, const struct retry_question *ended,
+			 const char *reason)
 {
 	int again = may_repeat(c, ended);
 
@@ -313,11 +249,11 @@
 	uint64_t id = c->attempt_id;
 
 	if (id)
-		send_cancel(c->callers, last_tried(c), id);
+		send_cancel(c->callers, call_last_tried(c), id);
 	/* The cancel may have been answered at once by this very node. */
 	if (!c->exchange)
 		return;
-	end_attempt(c, ROUTER_FAILED, NULL);
+	call_end_attempt(c, ROUTER_FAILED, NULL);
 	finish_failed(c, CALL_UNKNOWN, 504, "no answer before the deadline");
 }
 
@@ -326,10 +262,10 @@
 {
 	struct call *c = data;
 	struct caller_table *t = c->callers;
-	uint64_t host = last_tried(c), id = c->attempt_id;
+	uint64_t host = call_last_tried(c), id = c->attempt_id;
 
-	count(t, COUNTER_calls_canceled);
-	end_attempt(c, ROUTER_CANCELED, NULL);
+	caller_count(t, COUNTER_calls_canceled);
+	call_end_attempt(c, ROUTER_CANCELED, NULL);
 	call_end(c);
 	if (id)
 		send_cancel(t, host, id);
@@ -403,113 +339,33 @@
 					.final = answer->final };
 
 	/* A late answer of an earlier attempt, or one that is not ours. */
-	if (!c || last_tried(c) != from)
+	if (!c || call_last_tried(c) != from)
 		return;
 	read_load(c, answer, &load);
 	switch (answer->outcome) {
 	case FESCUE__OUTCOME__RAN:
-		end_attempt(c,
-			    is_server_error(answer) ? ROUTER_FAILED :
-						      ROUTER_ANSWERED,
-			    &load);
+		call_end_attempt(c,
+				 is_server_error(answer) ? ROUTER_FAILED :
+							   ROUTER_ANSWERED,
+				 &load);
 		take_run(c, answer);
 		break;
 	case FESCUE__OUTCOME__NOT_RUN:
 		/* A final refusal is the request's fault, not the host's. */
-		end_attempt(c, ROUTER_REFUSED, answer->final ? NULL : &load);
+		call_end_attempt(c, ROUTER_REFUSED,
+				 answer->final ? NULL : &load);
 		note_retry_after(c, answer->retry_after_ms);
 		ended.outcome = CALL_NOT_RUN;
-		attempt_failed(c, &ended, answer->reason);
+		call_attempt_failed(c, &ended, answer->reason);
 		break;
 	default:
-		end_attempt(c, ROUTER_FAILED, &load);
+		call_end_attempt(c, ROUTER_FAILED, &load);
 		ended.outcome = CALL_UNKNOWN;
-		attempt_failed(c, &ended, answer->reason);
+		call_attempt_failed(c, &ended, answer->reason);
 		break;
 	}
 }
 
-void caller_table_running(struct caller_table *t, uint64_t from,
-			  uint64_t call_id)
-{
-	struct call *c = g_hash_table_lookup(t->attempts, &call_id);
-
-	if (c && last_tried(c) == from && c->state == ATTEMPT_ASKED)
-		c->state = ATTEMPT_SENT;
-}
-
-/* The host cannot be asked any more: what became of the call is not known. */
-static void lose_attempt(struct call *c, int sent)
-{
-	struct retry_question ended = { .outcome = sent ? CALL_UNKNOWN :
-							  CALL_NOT_RUN,
-					.arrived = sent };
-
-	end_attempt(c, ROUTER_UNREACHABLE, NULL);
-	attempt_failed(c, &ended,
-		       sent ? "the host broke off" :
-			      "no connection to the host");
-}
-
-static void ask_host(struct call *c)
-{
-	struct caller_table *t = c->callers;
-	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_CALL_QUERY);
-
-	c->state = ATTEMPT_ASKED;
-	c->asked_ms = now_ms(t);
-	count(t, COUNTER_call_queries);
-	packet->call_query->call_id = c->attempt_id;
-	task_send(t->links, last_tried(c), packet);
-}
-
-static GArray *collect_attempts(const struct caller_table *t, uint64_t peer)
-{
-	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	GHashTableIter iter;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&iter, t->attempts);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		if (!peer || last_tried(value) == peer)
-			g_array_append_vals(ids, key, 1);
-	return ids;
-}
-
-void caller_table_peer_gone(struct caller_table *t, uint64_t peer,
-			    int connected)
-{
-	GArray *ids = collect_attempts(t, peer);
-
-	for (guint i = 0; i < ids->len; i++) {
-		uint64_t id = g_array_index(ids, uint64_t, i);
-		struct call *c = g_hash_table_lookup(t->attempts, &id);
-
-		if (!c)
-			continue;
-		if (connected)
-			ask_host(c);
-		else
-			lose_attempt(c, c->state == ATTEMPT_ASKED);
-	}
-	g_array_free(ids, TRUE);
-}
-
-static void expire_queries(struct caller_table *t)
-{
-	GArray *ids = collect_attempts(t, 0);
-
-	for (guint i = 0; i < ids->len; i++) {
-		uint64_t id = g_array_index(ids, uint64_t, i);
-		struct call *c = g_hash_table_lookup(t->attempts, &id);
-
-		if (c && c->state == ATTEMPT_ASKED &&
-		    now_ms(t) >= c->asked_ms + QUERY_TIMEOUT_MS)
-			lose_attempt(c, 1);
-	}
-	g_array_free(ids, TRUE);
-}
-
 /*
  * The part of the route that serves the call, drawn by weight. A part without
  * room is not relieved by the others: the operators set the shares.
@@ -551,7 +407,7 @@
 	wait_ms = http_exchange_header_number(
 		exchange, t->links->headers->deadline, c->contract.deadline_ms);
 	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
-	c->entered_ms = now_ms(t);
+	c->entered_ms = caller_now_ms(t);
 	c->deadline_ms = c->entered_ms + wait_ms;
 	c->queue_until_ms = c->entered_ms + wait_ms / QUEUE_DIVISOR;
 	c->entered_us = monotonic_clock_us();
@@ -566,7 +422,7 @@
 static void refuse(struct caller_table *t, struct http_exchange *exchange,
 		   int status, const char *reason)
 {
-	count(t, COUNTER_calls_not_run);
+	caller_count(t, COUNTER_calls_not_run);
 	review_connection(t, exchange);
 	call_reply_failure(exchange, t->links->headers, status, CALL_NOT_RUN, 0,
 			   reason);
@@ -590,12 +446,12 @@
 	case ROUTE_FOUND:
 		return FESCUE_OK;
 	case ROUTE_WITHDRAWN:
-		count(t, COUNTER_route_withdrawn);
+		caller_count(t, COUNTER_route_withdrawn);
 		refuse(t, exchange, 503,
 		       "the service has no backend server now");
 		break;
 	case ROUTE_UNKNOWN:
-		count(t, COUNTER_no_route);
+		caller_count(t, COUNTER_no_route);
 		refuse(t, exchange, 404, "no rule matches; add a route line");
 		break;
 	}
@@ -613,7 +469,7 @@
 	struct route_handle route;
 	struct call *c;
 
-	count(t, COUNTER_calls_received);
+	caller_count(t, COUNTER_calls_received);
 	if (!snapshot || depth >= DEPTH_MAX) {
 		refuse(t, exchange, 503,
 		       depth >= DEPTH_MAX ? "calls nest too deep" : why);
@@ -629,8 +485,8 @@
 
 void caller_table_tick(struct caller_table *t)
 {
-	expire_queries(t);
-	router_expire(t->router, now_ms(t), EVIDENCE_IDLE_MS);
+	caller_expire_queries(t);
+	router_expire(t->router, caller_now_ms(t), EVIDENCE_IDLE_MS);
 }
 
 struct caller_table *caller_table_create(const struct task_links *links,
--- a/src/node.c
+++ b/src/node.c
@@ -19,8 +19,6 @@
 /* Hosts told at once of a change of the backend server; they pass it on. */
 #define ANNOUNCE_FAN_OUT 12
 #define CUT_OFF_MS 5000
-/* Nothing in flight for this long: a stopping node may end. */
-#define DRAIN_IDLE_MS 150
 
 uint64_t node_now_ms(const struct node *node)
 {
@@ -38,11 +36,6 @@
 	}
 }
 
-int node_is_draining(const struct node *node)
-{
-	return node->drain_since_ms != 0;
-}
-
 int node_is_ready(const struct node *node, const char **why)
 {
 	const struct floor *floor = bootstrap_floor(node->bootstrap);
@@ -312,41 +305,6 @@
 	node->cut_off = cut_off;
 }
 
-static void finish_drain(struct node *node)
-{
-	const struct node_settings *settings = &node->settings;
-	uint64_t now_ms = node_now_ms(node);
-	int idle = !caller_table_in_flight(node->callers) &&
-		   !backend_server_in_flight(node->backend);
-
-	if (!idle)
-		node->idle_since_ms = 0;
-	else if (!node->idle_since_ms)
-		node->idle_since_ms = now_ms;
-	idle = node->idle_since_ms &&
-	       now_ms >= node->idle_since_ms + DRAIN_IDLE_MS;
-	if (now_ms < node->drain_since_ms + settings->stop_min_ms)
-		return;
-	if (!idle && now_ms < node->drain_since_ms + settings->drain_ms)
-		return;
-	log_state("stopped with %zu calls and %u runs in flight",
-		  caller_table_in_flight(node->callers),
-		  backend_server_in_flight(node->backend));
-	uv_stop(node->loop);
-}
-
-static void leave_fleet(struct node *node);
-
-static void review_stop(struct node *node)
-{
-	if (!node->left_fleet &&
-	    node_now_ms(node) >=
-		    node->drain_since_ms + node->settings.stop_serve_ms)
-		leave_fleet(node);
-	if (node->left_fleet)
-		finish_drain(node);
-}
-
 static void on_tick(uv_timer_t *timer)
 {
 	struct node *node = timer->data;
@@ -366,28 +324,7 @@
 	review_contact(node);
 	node_update_config(node);
 	if (node_is_draining(node))
-		review_stop(node);
-}
-
-/* Hand the backend server's calls to others; what runs is finished. */
-static void leave_fleet(struct node *node)
-{
-	log_state("stopping: no new calls for the backend server");
-	node->left_fleet = 1;
-	membership_leave(node->membership, &node->outbox);
-	node_flush(node);
-	backend_server_drain(node->backend);
-	node_update_config(node);
-}
-
-void node_drain(struct node *node)
-{
-	if (node_is_draining(node))
-		return;
-	log_state("stopping");
-	node->drain_since_ms = node_now_ms(node);
-	if (!node->settings.stop_serve_ms)
-		leave_fleet(node);
+		node_review_stop(node);
 }
 
 static void on_signal(uv_signal_t *signal, int number)
--- a/src/node.h
+++ b/src/node.h
@@ -76,6 +76,9 @@
 void node_drain(struct node *node);
 int node_is_draining(const struct node *node);
 
+/* Advance a stop that is under way. */
+void node_review_stop(struct node *node);
+
 /* May this node serve callers, and if not, why (a static text)? */
 int node_is_ready(const struct node *node, const char **why);
 
--- a/src/rules.c
+++ b/src/rules.c
@@ -1,47 +1,17 @@
 #include "fescue/rules.h"
 
 #include "fescue/error.h"
-#include "rules_field.h"
-#include "rules_table.h"
+#include "rules_parser.h"
 
 #include <glib.h>
 #include <string.h>
 #include <xxhash.h>
 
-struct parser {
-	struct rules *rules;
-	GHashTable *service_names; /* name -> line */
-	GHashTable *route_keys; /* method, host and prefix -> line */
-	uint32_t line;
-	struct diagnostic *diagnostics;
-	size_t max;
-	size_t count;
-};
-
 const char *call_class_name(enum call_class call_class)
 {
 	return call_class == CALL_CLASS_URGENT ? "urgent" : "background";
 }
 
-G_GNUC_PRINTF(4, 5)
-static void complain(struct parser *p, uint32_t column, const char *remedy,
-		     const char *format, ...)
-{
-	struct diagnostic *d;
-	va_list args;
-
-	if (p->count < p->max) {
-		d = &p->diagnostics[p->count];
-		d->line = p->line;
-		d->column = column;
-		va_start(args, format);
-		g_vsnprintf(d->what, sizeof(d->what), format, args);
-		va_end(args);
-		g_strlcpy(d->remedy, remedy, sizeof(d->remedy));
-	}
-	p->count++;
-}
-
 static int parse_name(struct parser *p, const struct field *f, char *out)
 {
 	char buf[40];
@@ -58,111 +28,6 @@
 	return FESCUE_OK;
 }
 
-/* Split "key=value"; returns 0 and a diagnostic when there is no '='. */
-static int split_option(struct parser *p, const struct field *f,
-			struct field *key, struct field *value)
-{
-	const char *equals = memchr(f->text, '=', f->len);
-	char buf[40];
-
-	if (!equals) {
-		complain(p, f->column, "write options as key=value",
-			 "'%s' is not an option",
-			 field_show(f, buf, sizeof(buf)));
-		return 0;
-	}
-	key->text = f->text;
-	key->len = (uint32_t)(equals - f->text);
-	key->column = f->column;
-	value->text = equals + 1;
-	value->len = f->len - key->len - 1;
-	value->column = f->column + key->len + 1;
-	return 1;
-}
-
-static void parse_number_option(struct parser *p, const struct field *key,
-				const struct field *value, uint32_t min,
-				uint32_t max, uint32_t *out)
-{
-	char name[32], buf[40], remedy[80];
-	uint32_t number;
-
-	if (!field_parse_number(value, max, &number) && number >= min) {
-		*out = number;
-		return;
-	}
-	g_snprintf(remedy, sizeof(remedy), "give a whole number from %u to %u",
-		   min, max);
-	complain(p, value->column, remedy, "%s has the bad value '%s'",
-		 field_show(key, name, sizeof(name)),
-		 field_show(value, buf, sizeof(buf)));
-}
-
-static void parse_choice_option(struct parser *p, const struct field *key,
-				const struct field *value, const char *first,
-				const char *second, int *out)
-{
-	char name[32], buf[40], remedy[80];
-
-	if (field_is(value, first)) {
-		*out = 0;
-	} else if (field_is(value, second)) {
-		*out = 1;
-	} else {
-		g_snprintf(remedy, sizeof(remedy), "give %s or %s", first,
-			   second);
-		complain(p, value->column, remedy, "%s has the bad value '%s'",
-			 field_show(key, name, sizeof(name)),
-			 field_show(value, buf, sizeof(buf)));
-	}
-}
-
-static void unknown_option(struct parser *p, const struct field *key,
-			   const char *allowed)
-{
-	char buf[40];
-
-	complain(p, key->column, allowed, "unknown option '%s'",
-		 field_show(key, buf, sizeof(buf)));
-}
-
-/* Complain when an option stands twice on a line. */
-static int option_is_repeated(struct parser *p, const struct field *fields,
-			      size_t i, size_t first, const struct field *key)
-{
-	char buf[40];
-
-	for (size_t j = first; j < i; j++) {
-		if (fields[j].len > key->len &&
-		    fields[j].text[key->len] == '=' &&
-		    !memcmp(fields[j].text, key->text, key->len)) {
-			complain(p, key->column, "give each option once",
-				 "option '%s' stands twice",
-				 field_show(key, buf, sizeof(buf)));
-			return 1;
-		}
-	}
-	return 0;
-}
-
-static void parse_path_option(struct parser *p, const struct field *key,
-			      const struct field *value, char *out)
-{
-	char name[32], buf[40];
-
-	if (value->len && value->text[0] == '/' &&
-	    value->len <= RULES_PATH_MAX_BYTES) {
-		memcpy(out, value->text, value->len);
-		out[value->len] = '\0';
-		return;
-	}
-	complain(p, value->column,
-		 "give a path of up to 127 bytes that starts with /",
-		 "%s has the bad value '%s'",
-		 field_show(key, name, sizeof(name)),
-		 field_show(value, buf, sizeof(buf)));
-}
-
 static void parse_service_option(struct parser *p, struct service_rule *rule,
 				 const struct field *key,
 				 const struct field *value)
