--- a/src/rules.c
+++ b/src/rules.c
@@ -419,7 +419,7 @@
 		if (!first)
 			first = service;
 	}
-	if (!route->has_deadline)
+	if (first && !route->has_deadline)
 		route->contract.deadline_ms = first->deadline_ms;
 }
 
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -6,7 +6,7 @@
 #include "fescue/error.h"
 #include "http_server.h"
 #include "program.h"
-#include "store_call.h"
+#include "store_data.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -19,72 +19,6 @@
 #define ANSWER_MS 1
 #define PAGE_ITEMS 500
 
-enum outage { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_HANG };
-
-struct entry {
-	char *value;
-	size_t size;
-	uint64_t revision;
-	uint64_t created;
-	uint64_t lease; /* 0: none */
-};
-
-/* A change, as watches report it. */
-struct event {
-	char *key;
-	uint64_t revision;
-	json_t *json;
-};
-
-struct lease {
-	uint64_t ttl_ms;
-	uint64_t expires_ms;
-};
-
-struct store {
-	uv_loop_t *loop;
-	GTree *entries; /* key -> struct entry */
-	GQueue history; /* struct event, the oldest at the head */
-	uint64_t dropped; /* revision of the newest event dropped */
-	GHashTable *leases; /* id -> struct lease */
-	GPtrArray *watches; /* struct call */
-	GPtrArray *hung; /* struct call held by an outage */
-	uint64_t revision;
-	uint64_t next_lease;
-	enum outage outage;
-	uint32_t delay_ms;
-	uint32_t lose_answers; /* of the next writes */
-	uint32_t rate_cap; /* calls a second, 0: none */
-	uint64_t second; /* of the rates below */
-	uint64_t reads_now, writes_now;
-	uint64_t reads, writes, watch_calls, refused, lost;
-	uint64_t peak_reads, peak_writes; /* in one second */
-	uv_timer_t sweep;
-};
-
-static gint compare_keys(gconstpointer a, gconstpointer b, gpointer data)
-{
-	(void)data;
-	return strcmp(a, b);
-}
-
-static void entry_free(gpointer p)
-{
-	struct entry *entry = p;
-
-	g_free(entry->value);
-	g_free(entry);
-}
-
-static void event_free(gpointer p)
-{
-	struct event *event = p;
-
-	json_decref(event->json);
-	g_free(event->key);
-	g_free(event);
-}
-
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct call *c = handle->data;
@@ -122,28 +56,9 @@
 	reply(c, status, json_pack("{s:s}", "error", error));
 }
 
-static json_t *entry_to_json(const char *key, const struct entry *entry)
-{
-	char *value =
-		g_base64_encode((const guchar *)entry->value, entry->size);
-	json_t *json = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key,
-				 "value", value, "revision",
-				 (json_int_t)entry->revision, "created",
-				 (json_int_t)entry->created, "lease",
-				 (json_int_t)entry->lease);
-
-	g_free(value);
-	return json;
-}
-
-static struct entry *find(struct store *s, const char *key)
-{
-	return g_tree_lookup(s->entries, key);
-}
-
 static void do_key(struct call *c)
 {
-	struct entry *entry = find(c->store, c->key);
+	struct entry *entry = find_entry(c->store, c->key);
 
 	if (entry)
 		reply(c, 200, entry_to_json(c->key, entry));
@@ -183,20 +98,6 @@
 			listing.has_more));
 }
 
-static json_t *events_after(struct store *s, const char *prefix, uint64_t after)
-{
-	json_t *events = json_array();
-
-	for (GList *l = s->history.head; l; l = l->next) {
-		struct event *event = l->data;
-
-		if (event->revision > after &&
-		    !strncmp(event->key, prefix, strlen(prefix)))
-			json_array_append(events, event->json);
-	}
-	return events;
-}
-
 static void reply_events(struct call *c, json_t *events)
 {
 	reply(c, 200, json_pack("{s:o}", "events", events));
@@ -215,86 +116,6 @@
 	}
 }
 
-static void drop_oldest_event(struct store *s)
-{
-	struct event *event = g_queue_pop_head(&s->history);
-
-	s->dropped = event->revision;
-	event_free(event);
-}
-
-static void add_event(struct store *s, const char *key, json_t *json)
-{
-	struct event *event = g_new0(struct event, 1);
-
-	event->key = g_strdup(key);
-	event->revision = s->revision;
-	event->json = json;
-	g_queue_push_tail(&s->history, event);
-	if (g_queue_get_length(&s->history) > STORE_STANDIN_HISTORY)
-		drop_oldest_event(s);
-}
-
-static void put_entry(struct store *s, const char *key, const char *text,
-		      uint64_t lease)
-{
-	struct entry *old = find(s, key);
-	struct entry *entry = g_new0(struct entry, 1);
-
-	entry->value = (char *)g_base64_decode(text ? text : "", &entry->size);
-	entry->lease = lease;
-	entry->revision = s->revision;
-	entry->created = old ? old->created : s->revision;
-	g_tree_replace(s->entries, g_strdup(key), entry);
-	add_event(s, key, entry_to_json(key, entry));
-}
-
-static void remove_entry(struct store *s, const char *key)
-{
-	if (!g_tree_remove(s->entries, key))
-		return;
-	add_event(s, key,
-		  json_pack("{s:s, s:I, s:b}", "key", key, "revision",
-			    (json_int_t)s->revision, "removed", 1));
-}
-
-/* The conditions that do not hold, with what their keys hold now. */
-static json_t *failed_conditions(struct store *s, const json_t *conditions)
-{
-	json_t *items = json_array();
-	int failed = 0;
-
-	for (size_t i = 0; i < json_array_size(conditions); i++) {
-		const json_t *row = json_array_get(conditions, i);
-		const char *key =
-			json_string_value(json_object_get(row, "key"));
-		struct entry *entry = find(s, key ? key : "");
-		uint64_t expected = (uint64_t)json_integer_value(
-			json_object_get(row, "revision"));
-
-		if ((entry ? entry->revision : 0) != expected)
-			failed = 1;
-		if (entry)
-			json_array_append_new(items, entry_to_json(key, entry));
-	}
-	if (failed)
-		return items;
-	json_decref(items);
-	return NULL;
-}
-
-static int leases_exist(struct store *s, const json_t *puts)
-{
-	for (size_t i = 0; i < json_array_size(puts); i++) {
-		uint64_t lease = (uint64_t)json_integer_value(
-			json_object_get(json_array_get(puts, i), "lease"));
-
-		if (lease && !g_hash_table_contains(s->leases, &lease))
-			return 0;
-	}
-	return 1;
-}
-
 /* A write whose answer is to be lost has its connection cut. */
 static void reply_write(struct call *c)
 {
@@ -583,46 +404,12 @@
 		accept_call(s, exchange);
 }
 
-struct sweep {
-	GHashTable *leases;
-	GPtrArray *keys;
-};
-
-static gboolean collect_orphan(gpointer key, gpointer value, gpointer data)
-{
-	struct entry *entry = value;
-	struct sweep *sweep = data;
-
-	if (entry->lease &&
-	    !g_hash_table_contains(sweep->leases, &entry->lease))
-		g_ptr_array_add(sweep->keys, g_strdup(key));
-	return FALSE;
-}
-
-static gboolean lease_expired(gpointer key, gpointer value, gpointer data)
-{
-	struct lease *lease = value;
-	struct store *s = data;
-
-	(void)key;
-	return uv_now(s->loop) >= lease->expires_ms;
-}
-
 static void on_sweep(uv_timer_t *timer)
 {
 	struct store *s = timer->data;
-	struct sweep sweep = { s->leases, NULL };
 
-	if (!g_hash_table_foreach_remove(s->leases, lease_expired, s))
-		return;
-	sweep.keys = g_ptr_array_new_with_free_func(g_free);
-	g_tree_foreach(s->entries, collect_orphan, &sweep);
-	if (sweep.keys->len)
-		s->revision++;
-	for (guint i = 0; i < sweep.keys->len; i++)
-		remove_entry(s, g_ptr_array_index(sweep.keys, i));
-	g_ptr_array_free(sweep.keys, TRUE);
-	answer_watches(s);
+	if (store_expire_leases(s))
+		answer_watches(s);
 }
 
 static void store_init(struct store *s, uv_loop_t *loop)
