Take a request at the end of the loop's turn, after its cancel

Ruled out: a cancel that was not sent, calls queued at the target, they are given up after half of their time. Test call_canceled_in_the_same_turn_never_runs failed before.

--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -48,7 +48,21 @@
 	return admission_offer(b->admission, &call, now, reason);
 }
 
-void backend_server_call(struct backend_server *b, uint64_t from,
+/* A request between its arrival and the end of the loop's turn. */
+struct arrival {
+	uint64_t from;
+	Fescue__CallRequest *request;
+};
+
+static void arrival_free(gpointer p)
+{
+	struct arrival *arrival = p;
+
+	fescue__call_request__free_unpacked(arrival->request, NULL);
+	g_free(arrival);
+}
+
+static void take_request(struct backend_server *b, uint64_t from,
 			 Fescue__CallRequest *request)
 {
 	enum admission_reason reason;
@@ -83,8 +97,66 @@
 	serving_end(s);
 }
 
-void backend_server_cancel(struct backend_server *b, uint64_t from,
-			   uint64_t call_id)
+static void on_turn_end(uv_check_t *check)
+{
+	struct backend_server *b = check->data;
+	struct arrival *arrival;
+
+	uv_check_stop(check);
+	while ((arrival = g_queue_pop_head(&b->arrivals))) {
+		take_request(b, arrival->from,
+			     g_steal_pointer(&arrival->request));
+		arrival_free(arrival);
+	}
+}
+
+/*
+ * Whatever came in one turn of the loop is read before a request is taken:
+ * after a stall of the link its cancel stands right behind it.
+ */
+void backend_server_call(struct backend_server *b, uint64_t from,
+			 Fescue__CallRequest *request)
+{
+	struct arrival *arrival = g_new0(struct arrival, 1);
+
+	arrival->from = from;
+	arrival->request = request;
+	g_queue_push_tail(&b->arrivals, arrival);
+	uv_check_start(&b->turn_end, on_turn_end);
+}
+
+void backend_arrivals_open(struct backend_server *b)
+{
+	g_queue_init(&b->arrivals);
+	uv_check_init(b->links->loop, &b->turn_end);
+	b->turn_end.data = b;
+}
+
+void backend_arrivals_clear(struct backend_server *b)
+{
+	uv_check_stop(&b->turn_end);
+	g_queue_clear_full(&b->arrivals, arrival_free);
+}
+
+/* Drop a request that was not yet taken; returns 1 if there was one. */
+static int drop_arrival(struct backend_server *b, uint64_t from,
+			uint64_t call_id)
+{
+	for (GList *l = b->arrivals.head; l; l = l->next) {
+		struct arrival *arrival = l->data;
+
+		if (arrival->from != from ||
+		    arrival->request->call_id != call_id)
+			continue;
+		arrival_free(arrival);
+		g_queue_delete_link(&b->arrivals, l);
+		return 1;
+	}
+	return 0;
+}
+
+static void cancel_known(struct backend_server *b, uint64_t from,
+			 uint64_t call_id)
 {
 	struct serving *s = find_serving(b, from, call_id);
 
@@ -94,6 +166,14 @@
 		answer_memory_bar(b->memory, from, call_id, backend_now_ms(b));
 }
 
+void backend_server_cancel(struct backend_server *b, uint64_t from,
+			   uint64_t call_id)
+{
+	if (drop_arrival(b, from, call_id))
+		return;
+	cancel_known(b, from, call_id);
+}
+
 void backend_server_query(struct backend_server *b, uint64_t from,
 			  uint64_t call_id)
 {
@@ -102,6 +182,10 @@
 	void *answer;
 	size_t size;
 
+	if (!s && !g_queue_is_empty(&b->arrivals)) {
+		on_turn_end(&b->turn_end);
+		s = find_serving(b, from, call_id);
+	}
 	if (s) {
 		s->orphan_since_ms = 0;
 		packet = packet_create(FESCUE__PACKET__BODY_CALL_RUNNING);
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -424,25 +424,33 @@
 	b->announce_at_ms = task_now_ms(links) + settings->announce_delay_ms;
 	b->admission = admission_create(settings->policy);
 	b->memory = answer_memory_create(answer_release);
+	backend_arrivals_open(b);
 	b->servings = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					    serving_free);
 	return b;
 }
 
+static void on_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
 void backend_server_destroy(struct backend_server *b)
 {
 	if (!b)
 		return;
+	backend_arrivals_clear(b);
 	g_hash_table_destroy(b->servings);
 	answer_memory_destroy(b->memory);
 	admission_destroy(b->admission);
 	http_pool_release(b->pool);
-	g_free(b);
+	uv_close((uv_handle_t *)&b->turn_end, on_closed);
 }
 
 uint32_t backend_server_in_flight(const struct backend_server *b)
 {
-	return g_hash_table_size(b->servings);
+	return g_hash_table_size(b->servings) +
+	       g_queue_get_length((GQueue *)&b->arrivals);
 }
 
 const char *backend_server_service(const struct backend_server *b)
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -41,6 +41,8 @@
 	int unreachable; /* connections fail, until the next heartbeat */
 	int draining; /* the node itself is stopping */
 	uint64_t next_ticket;
+	GQueue arrivals; /* struct arrival, of this turn of the loop */
+	uv_check_t turn_end;
 	GHashTable *servings; /* ticket -> struct serving */
 };
 
@@ -70,6 +72,10 @@
 /* The call is over: free its slot if it holds one, then start the next. */
 void serving_end(struct serving *serving);
 
+/* Requests that came in this turn of the loop. */
+void backend_arrivals_open(struct backend_server *backend);
+void backend_arrivals_clear(struct backend_server *backend);
+
 /* Hand queued calls back, so that their nodes send them elsewhere. */
 void backend_return_queued(struct backend_server *backend, const char *reason);
 
--- /dev/null
+++ b/test/test_backend_server.cc
@@ -0,0 +1,150 @@
+/*
+ * The task beside a backend server, with its packets collected and time under
+ * the test's control; no other node and no bench.
+ */
+#include "scripted_peer.h"
+
+#include <csignal>
+
+extern "C" {
+#include "backend_server.h"
+#include "events.h"
+}
+
+namespace
+{
+
+struct fixture {
+	uv_loop_t *loop = uv_default_loop();
+	struct counters counters = {};
+	struct task_links links = {};
+	struct quarantine *quarantine = quarantine_create();
+	struct backend_server *backend;
+	std::vector<Fescue__Packet *> sent;
+
+	explicit fixture(struct address address)
+	{
+		struct backend_server_settings settings = {};
+		struct announcement a = {};
+
+		signal(SIGPIPE, SIG_IGN);
+		links.loop = loop;
+		links.counters = &counters;
+		links.headers = interface_headers(INTERFACE_PLATFORM);
+		links.own = 1;
+		links.send = [](void *data, uint64_t, Fescue__Packet *p) {
+			((fixture *)data)->sent.push_back(p);
+		};
+		links.data = this;
+		settings.quarantine = quarantine;
+		settings.changed = [](void *, const struct backend_state *) {};
+		backend = backend_server_create(&links, &settings);
+		g_strlcpy(a.id, "i-1", sizeof(a.id));
+		g_strlcpy(a.service, "s", sizeof(a.service));
+		a.address = address;
+		a.slots = 1;
+		a.sequence = 1;
+		backend_server_announce(backend, &a);
+	}
+	~fixture()
+	{
+		backend_server_destroy(backend);
+		for (auto *p : sent)
+			packet_destroy(p);
+		quarantine_destroy(quarantine);
+		turn();
+	}
+	void call(uint64_t id, uint64_t from = 7)
+	{
+		Fescue__CallRequest *r = g_new(Fescue__CallRequest, 1);
+
+		fescue__call_request__init(r);
+		r->call_id = id;
+		packet_set_string(&r->service, "s");
+		packet_set_string(&r->method, "GET");
+		packet_set_string(&r->path, "/x");
+		r->deadline_ms = 5000;
+		r->queue_ms = 2500;
+		r->queue = 10;
+		r->idempotent = 1;
+		backend_server_call(backend, from, r);
+	}
+	void turn()
+	{
+		for (int i = 0; i < 3; i++)
+			uv_run(loop, UV_RUN_NOWAIT);
+	}
+	uint64_t runs() const
+	{
+		return counters.values[COUNTER_served_runs];
+	}
+	/* Outcomes of the answers sent so far. */
+	std::vector<int> outcomes() const
+	{
+		std::vector<int> out;
+
+		for (auto *p : sent)
+			if (p->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
+				out.push_back(p->call_answer->outcome);
+		return out;
+	}
+};
+
+const struct address nobody = { 0x7f000001, 47181 };
+
+/* After a stall of the link a request and its cancel arrive together. */
+TEST(backend_server, call_canceled_in_the_same_turn_never_runs)
+{
+	fixture f(nobody);
+
+	f.call(1);
+	backend_server_cancel(f.backend, 7, 1);
+	f.turn();
+	EXPECT_EQ(f.runs(), 0u);
+	f.call(2);
+	f.turn();
+	EXPECT_EQ(f.runs(), 1u);
+}
+
+/* A query overtakes its request, which then must not run any more. */
+TEST(backend_server, call_that_was_asked_about_is_barred)
+{
+	fixture f(nobody);
+
+	backend_server_query(f.backend, 7, 1);
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+	f.call(1);
+	f.turn();
+	EXPECT_EQ(f.runs(), 0u);
+}
+
+TEST(backend_server, call_that_waits_is_reported_as_running)
+{
+	fixture f(nobody);
+
+	f.call(1);
+	backend_server_query(f.backend, 7, 1);
+	ASSERT_FALSE(f.sent.empty());
+	EXPECT_EQ(f.sent.back()->body_case, FESCUE__PACKET__BODY_CALL_RUNNING);
+}
+
+/* Queued calls go back at once when the backend server leaves. */
+TEST(backend_server, leaving_hands_queued_calls_back)
+{
+	scripted_peer busy({ { "", step::HANG } });
+	fixture f(busy.address);
+
+	f.call(1);
+	f.call(2);
+	f.call(3);
+	while (busy.requests.empty())
+		f.turn();
+	f.sent.clear();
+	backend_server_leave(f.backend, "i-1");
+	EXPECT_EQ(f.outcomes().size(), 2u);
+	f.call(4);
+	f.turn();
+	EXPECT_LE(f.runs(), 1u);
+}
+
+} // namespace
