Ask once more for a version that did not come; look for suspects as well

Now it is repeated once after the time-out, half as long while the store is lost. A host looks for one that is not alive each second, suspects too, so that a restarted one is found.

--- a/src/distribution.c
+++ b/src/distribution.c
@@ -180,6 +180,8 @@
 	    now_ms < d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		return;
 	if (!d->settings.fetch_delay_ms || d->source_lost) {
+		d->fetch_version = version;
+		d->fetch_again = 1;
 		send_fetch(d, peer, now_ms, 0, outbox);
 	} else if (!d->behind_peer) {
 		d->behind_peer = peer;
@@ -362,6 +364,24 @@
 		push_to_witness(d, now_ms, outbox);
 }
 
+/* An answer may have been lost: ask once more while it is missing. */
+static void review_fetch(struct distribution *d, uint64_t now_ms,
+			 struct outbox *outbox)
+{
+	uint64_t peer = d->fetch_from;
+	uint32_t timeout = d->settings.fetch_timeout_ms;
+
+	if (d->source_lost)
+		timeout /= 2;
+	if (!peer || now_ms < d->fetch_started_ms + timeout)
+		return;
+	d->fetch_from = 0;
+	if (d->fetch_again && d->fetch_version > newest(d)->version) {
+		send_fetch(d, peer, now_ms, 0, outbox);
+		d->fetch_again = 0;
+	}
+}
+
 void distribution_tick(struct distribution *d, uint64_t now_ms,
 		       struct outbox *outbox)
 {
@@ -371,9 +391,7 @@
 		push_domain(d, now_ms, outbox);
 	review_staged(d, now_ms, outbox);
 	review_behind(d, now_ms, outbox);
-	if (d->fetch_from &&
-	    now_ms >= d->fetch_started_ms + d->settings.fetch_timeout_ms)
-		d->fetch_from = 0;
+	review_fetch(d, now_ms, outbox);
 }
 
 int distribution_next_action(struct distribution *d,
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -33,6 +33,8 @@
 	uint64_t pushed_version; /* this domain's tree is under way */
 	uint64_t fetch_from;
 	uint64_t fetch_started_ms;
+	uint64_t fetch_version; /* that the peer asked has */
+	int fetch_again; /* it may be asked once more */
 	int source_lost;
 	uint64_t behind_peer; /* has a higher version than this host */
 	uint64_t behind_version;
--- a/src/membership.c
+++ b/src/membership.c
@@ -17,7 +17,7 @@
 	.updates_per_packet = 6,
 	.sync_interval_ms = 5000,
 	.dead_retention_ms = 600000,
-	.dead_probe_periods = 5,
+	.dead_probe_periods = 1,
 };
 
 /* A probe sent on behalf of another host. */
@@ -290,14 +290,14 @@
 	}
 }
 
-static struct member *random_member(struct membership *m, int up)
+static struct member *random_member(struct membership *m, int alive)
 {
 	for (int tries = 0; tries < 8 && m->table.members->len > 1; tries++) {
 		gint i = g_rand_int_range(m->random, 1,
 					  (gint)m->table.members->len);
 		struct member *member = g_ptr_array_index(m->table.members, i);
 
-		if (host_is_up(&member->host) == up)
+		if ((member->host.state == HOST_ALIVE) == alive)
 			return member;
 	}
 	return NULL;
@@ -349,7 +349,7 @@
 	m->phase = PROBE_IDLE;
 }
 
-/* Now and then, look whether a dead host is back or a cut has healed. */
+/* Look whether a lost host is back or a cut has healed. */
 static void probe_dead(struct membership *m, struct outbox *outbox)
 {
 	struct member *member;
--- a/test/system/store_outage.sh
+++ b/test/system/store_outage.sh
@@ -20,7 +20,8 @@
 	start_node ereszkor 4
 	sleep 7
 	test "$(status_of ereszkor 4 .ready)" = true ||
-		fail "the node did not start from its peers"
+		fail "the node did not start from its peers:" \
+			"$(status_of ereszkor 4 .reason)"
 	store_faults ereszkor '{"outage": "none"}'
 	sleep 3
 done
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -200,6 +200,29 @@
  * version from peers at once but serve only when the store confirms it:
  * nobody can know what was lost with them.
  */
+/*
+ * A host that starts again while the store is out knows nobody: its peers
+ * find it, and it serves within six seconds, three of them the settle time.
+ */
+TEST(distribution, restart_with_the_store_out_is_found_in_time)
+{
+	for (int seed = 0; seed < 200; seed++) {
+		fleet_sim sim(5000 + seed, 9, 3);
+
+		start_all(sim);
+		sim.accept();
+		sim.run(1000);
+		sim.store.up = false;
+		sim.kill(*sim.nodes[3]);
+		sim.run(300);
+		sim.start(*sim.nodes[3]);
+		sim.run(6000);
+		EXPECT_TRUE(floor_allows(&sim.nodes[3]->floor,
+					 sim.nodes[3]->version))
+			<< "seed " << seed;
+	}
+}
+
 TEST(distribution, herd_returns_with_the_store_out)
 {
 	fleet_sim sim(7, 12, 3);
