Let only the incarnation that a call was sent to say that it never came

Ruled out: the entry node's own repeat, it is barred for calls that may have run. Hosts now tell an epoch, a query names that of its target, and another one answers "may have run"; so does a host that has forgotten the answer, and an entry node asks about nothing older than 20 s by a clock that counts suspensions. Tests call_of_an_earlier_start_may_have_run and forgotten_answers_are_not_unknown_calls failed before.

--- a/fescue/answer_memory.h
+++ b/fescue/answer_memory.h
@@ -3,8 +3,8 @@
  *
  * When a link breaks, the sender asks what became of a call. A call that is
  * not known is barred for good, so that "not run" stays true if its request
- * arrives late. Answers are kept for a while, within a bound of bytes. The
- * module owns no socket and reads no clock.
+ * arrives late. Answers are kept for a while, within a bound of bytes; that a
+ * call came is known for longer. The module owns no socket and reads no clock.
  */
 #ifndef FESCUE_ANSWER_MEMORY_H
 #define FESCUE_ANSWER_MEMORY_H
@@ -16,6 +16,8 @@
 #define ANSWER_MEMORY_MS 4000
 /* A request may stay in a broken connection's buffers for this long. */
 #define ANSWER_BARRED_MS 30000
+/* That a call came is known for this long, also without its answer. */
+#define ANSWER_SEEN_MS 40000
 #define ANSWER_MEMORY_BYTES ((size_t)2 << 20)
 
 struct answer_memory;
@@ -29,6 +31,10 @@
 			uint64_t call_id, void *answer, size_t size,
 			uint64_t now_ms);
 
+/* The call came; it may run. */
+void answer_memory_see(struct answer_memory *memory, uint64_t from,
+		       uint64_t call_id, uint64_t now_ms);
+
 /* The call must never run here. */
 void answer_memory_bar(struct answer_memory *memory, uint64_t from,
 		       uint64_t call_id, uint64_t now_ms);
@@ -37,6 +43,7 @@
 	ANSWER_UNKNOWN, /* the call never came, or long ago */
 	ANSWER_KEPT,
 	ANSWER_BARRED,
+	ANSWER_FORGOTTEN, /* the call came; its answer is kept no more */
 };
 
 /* *answer is set on ANSWER_KEPT and stays owned by the memory. */
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -997,7 +997,7 @@
   assert(message->base.descriptor == &fescue__packet__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor fescue__member__field_descriptors[10] =
+static const ProtobufCFieldDescriptor fescue__member__field_descriptors[11] =
 {
   {
     "address",
@@ -1119,11 +1119,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Member, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__member__field_indices_by_name[] = {
   0,   /* field[0] = address */
   8,   /* field[8] = caller_port */
   9,   /* field[9] = capacity */
+  10,   /* field[10] = epoch */
   3,   /* field[3] = failure_domain */
   1,   /* field[1] = incarnation */
   7,   /* field[7] = operator_port */
@@ -1135,7 +1148,7 @@
 static const ProtobufCIntRange fescue__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor fescue__member__descriptor =
 {
@@ -1145,7 +1158,7 @@
   "Fescue__Member",
   "fescue",
   sizeof(Fescue__Member),
-  10,
+  11,
   fescue__member__field_descriptors,
   fescue__member__field_indices_by_name,
   1,  fescue__member__number_ranges,
@@ -2361,7 +2374,7 @@
   (ProtobufCMessageInit) fescue__call_cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_query__field_descriptors[1] =
+static const ProtobufCFieldDescriptor fescue__call_query__field_descriptors[2] =
 {
   {
     "call_id",
@@ -2375,14 +2388,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__CallQuery, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_query__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
+  1,   /* field[1] = epoch */
 };
 static const ProtobufCIntRange fescue__call_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor fescue__call_query__descriptor =
 {
@@ -2392,7 +2418,7 @@
   "Fescue__CallQuery",
   "fescue",
   sizeof(Fescue__CallQuery),
-  1,
+  2,
   fescue__call_query__field_descriptors,
   fescue__call_query__field_indices_by_name,
   1,  fescue__call_query__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -88,10 +88,14 @@
    * of its link in Mbit/s: the largest are relays
    */
   uint32_t capacity;
+  /*
+   * differs for each start of its node
+   */
+  uint64_t epoch;
 };
 #define FESCUE__MEMBER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__member__descriptor) \
-    , 0, 0, FESCUE__MEMBER_STATE__ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, 0, FESCUE__MEMBER_STATE__ALIVE, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -392,10 +396,14 @@
 {
   ProtobufCMessage base;
   uint64_t call_id;
+  /*
+   * of the receiver, as known when the call was sent
+   */
+  uint64_t epoch;
 };
 #define FESCUE__CALL_QUERY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_query__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 struct  Fescue__CallRunning
--- a/src/answer_memory.c
+++ b/src/answer_memory.c
@@ -10,7 +10,8 @@
 
 struct remembered {
 	struct call_key key;
-	void *answer; /* NULL: barred */
+	enum answer_fate fate;
+	void *answer; /* of ANSWER_KEPT */
 	size_t size;
 	uint64_t forget_ms;
 };
@@ -19,7 +20,9 @@
 	void (*release)(void *answer);
 	GHashTable *calls; /* struct call_key -> struct remembered */
 	GQueue kept; /* struct remembered with answers, the oldest first */
-	GQueue barred; /* the others, the oldest first */
+	GQueue barred; /* barred ones, the oldest first */
+	GQueue seen; /* calls that came, the oldest first */
+	GHashTable *seen_calls; /* struct call_key -> struct remembered */
 	size_t bytes;
 };
 
@@ -45,6 +48,8 @@
 	m->calls = g_hash_table_new(key_hash, key_equal);
 	g_queue_init(&m->kept);
 	g_queue_init(&m->barred);
+	g_queue_init(&m->seen);
+	m->seen_calls = g_hash_table_new(key_hash, key_equal);
 	return m;
 }
 
@@ -60,6 +65,14 @@
 	g_free(r);
 }
 
+static void forget_seen(struct answer_memory *m)
+{
+	struct remembered *r = g_queue_pop_head(&m->seen);
+
+	g_hash_table_remove(m->seen_calls, &r->key);
+	g_free(r);
+}
+
 void answer_memory_destroy(struct answer_memory *m)
 {
 	if (!m)
@@ -68,7 +81,10 @@
 		forget_oldest(m, &m->kept);
 	while (!g_queue_is_empty(&m->barred))
 		forget_oldest(m, &m->barred);
+	while (!g_queue_is_empty(&m->seen))
+		forget_seen(m);
 	g_hash_table_destroy(m->calls);
+	g_hash_table_destroy(m->seen_calls);
 	g_free(m);
 }
 
@@ -94,9 +110,11 @@
 			uint64_t call_id, void *answer, size_t size,
 			uint64_t now_ms)
 {
-	struct remembered r = {
-		{ from, call_id }, answer, size, now_ms + ANSWER_MEMORY_MS
-	};
+	struct remembered r = { { from, call_id },
+				ANSWER_KEPT,
+				answer,
+				size,
+				now_ms + ANSWER_MEMORY_MS };
 
 	assert(answer);
 	if (find(m, from, call_id)) {
@@ -108,12 +126,30 @@
 		forget_oldest(m, &m->kept);
 }
 
+void answer_memory_see(struct answer_memory *m, uint64_t from, uint64_t call_id,
+		       uint64_t now_ms)
+{
+	struct remembered *r = g_new0(struct remembered, 1);
+
+	r->key.from = from;
+	r->key.call_id = call_id;
+	r->forget_ms = now_ms + ANSWER_SEEN_MS;
+	if (g_hash_table_contains(m->seen_calls, &r->key)) {
+		g_free(r);
+		return;
+	}
+	g_hash_table_insert(m->seen_calls, &r->key, r);
+	g_queue_push_tail(&m->seen, r);
+}
+
 void answer_memory_bar(struct answer_memory *m, uint64_t from, uint64_t call_id,
 		       uint64_t now_ms)
 {
-	struct remembered r = {
-		{ from, call_id }, NULL, 0, now_ms + ANSWER_BARRED_MS
-	};
+	struct remembered r = { { from, call_id },
+				ANSWER_BARRED,
+				NULL,
+				0,
+				now_ms + ANSWER_BARRED_MS };
 
 	if (!find(m, from, call_id))
 		remember(m, &m->barred, &r);
@@ -123,12 +159,15 @@
 				    uint64_t from, uint64_t call_id,
 				    void **answer)
 {
+	struct call_key key = { from, call_id };
 	const struct remembered *r = find(m, from, call_id);
 
 	if (!r)
-		return ANSWER_UNKNOWN;
+		return g_hash_table_contains(m->seen_calls, &key) ?
+			       ANSWER_FORGOTTEN :
+			       ANSWER_UNKNOWN;
 	*answer = r->answer;
-	return r->answer ? ANSWER_KEPT : ANSWER_BARRED;
+	return r->fate;
 }
 
 static void expire(struct answer_memory *m, GQueue *queue, uint64_t now_ms)
@@ -141,8 +180,12 @@
 
 void answer_memory_expire(struct answer_memory *m, uint64_t now_ms)
 {
+	const struct remembered *r;
+
 	expire(m, &m->kept, now_ms);
 	expire(m, &m->barred, now_ms);
+	while ((r = g_queue_peek_head(&m->seen)) && now_ms >= r->forget_ms)
+		forget_seen(m);
 }
 
 size_t answer_memory_bytes(const struct answer_memory *m)
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -74,6 +74,7 @@
 		fescue__call_request__free_unpacked(request, NULL);
 		return;
 	}
+	answer_memory_see(b->memory, from, request->call_id, backend_now_ms(b));
 	switch (offer(b, request, &reason)) {
 	case ADMISSION_RUN:
 		serving_begin(serving_create(b, from, request));
@@ -174,10 +175,29 @@
 	cancel_known(b, from, call_id);
 }
 
+/*
+ * The call is not running and there is no answer. Only the incarnation that
+ * it was sent to can tell that it never came.
+ */
+static void answer_unknown(struct backend_server *b, uint64_t from,
+			   uint64_t call_id, int may_have_run)
+{
+	Fescue__Packet *packet = call_answer_create(
+		b->admission, 0, call_id,
+		may_have_run ? CALL_UNKNOWN : CALL_NOT_RUN,
+		may_have_run ? "the host started again or has forgotten" :
+			       "the request never arrived");
+
+	packet->call_answer->arrived = may_have_run;
+	answer_memory_bar(b->memory, from, call_id, backend_now_ms(b));
+	task_send(b->links, from, packet);
+}
+
 void backend_server_query(struct backend_server *b, uint64_t from,
-			  uint64_t call_id)
+			  uint64_t call_id, uint64_t epoch)
 {
 	struct serving *s = find_serving(b, from, call_id);
+	enum answer_fate fate;
 	Fescue__Packet *packet;
 	void *answer;
 	size_t size;
@@ -193,15 +213,13 @@
 		task_send(b->links, from, packet);
 		return;
 	}
-	if (answer_memory_find(b->memory, from, call_id, &answer) ==
-	    ANSWER_KEPT) {
+	fate = answer_memory_find(b->memory, from, call_id, &answer);
+	if (fate == ANSWER_KEPT)
 		task_send(b->links, from, packet_copy(answer, &size));
-		return;
-	}
-	answer_memory_bar(b->memory, from, call_id, backend_now_ms(b));
-	task_send(b->links, from,
-		  call_answer_create(b->admission, 0, call_id, CALL_NOT_RUN,
-				     "the request never arrived"));
+	else
+		answer_unknown(b, from, call_id,
+			       fate == ANSWER_FORGOTTEN ||
+				       epoch != b->links->epoch);
 }
 
 void backend_server_peer_gone(struct backend_server *b, uint64_t peer)
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -51,9 +51,12 @@
 void backend_server_cancel(struct backend_server *backend, uint64_t from,
 			   uint64_t call_id);
 
-/* from lost its link and asks what became of a call. */
+/*
+ * from lost its link and asks what became of a call that it sent to this node
+ * in the given epoch. Of calls of another epoch nothing is known.
+ */
 void backend_server_query(struct backend_server *backend, uint64_t from,
-			  uint64_t call_id);
+			  uint64_t call_id, uint64_t epoch);
 
 /* The link with a node that may have sent calls is gone. */
 void backend_server_peer_gone(struct backend_server *backend, uint64_t peer);
--- a/src/caller.c
+++ b/src/caller.c
@@ -157,6 +157,8 @@
 	c->tried[c->tried_count++] = host;
 	c->attempt_id = ++t->next_id;
 	c->attempt_us = monotonic_clock_us();
+	c->attempt_epoch = t->settings.epoch_of(t->settings.data, host);
+	c->attempt_boot_ms = boot_clock_ms();
 	c->state = ATTEMPT_SENT;
 	g_hash_table_insert(t->attempts, &c->attempt_id, c);
 	router_started(t->router, host, caller_now_ms(t));
--- a/src/caller.h
+++ b/src/caller.h
@@ -23,6 +23,8 @@
 	struct snapshot *(*snapshot)(void *data, const char **why);
 	/* The node is stopping: callers should come on new connections. */
 	int (*is_stopping)(void *data);
+	/* Epoch of a host as it is known here; 0: not known. */
+	uint64_t (*epoch_of)(void *data, uint64_t host);
 	void *data;
 };
 
--- a/src/caller_recovery.c
+++ b/src/caller_recovery.c
@@ -1,8 +1,12 @@
 /* What becomes of calls whose link to their host broke. */
 #include "caller_state.h"
+#include "events.h"
+#include "fescue/answer_memory.h"
 
 /* A host that was asked what became of a call answers within this time. */
 #define QUERY_TIMEOUT_MS 1500
+/* Well below the time for which a host knows that it has seen a call. */
+#define QUERY_AGE_MAX_MS (ANSWER_SEEN_MS / 2)
 
 void caller_table_running(struct caller_table *t, uint64_t from,
 			  uint64_t call_id)
@@ -29,12 +33,19 @@
 static void ask_host(struct call *c)
 {
 	struct caller_table *t = c->callers;
-	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_CALL_QUERY);
+	Fescue__Packet *packet;
 
+	/* Its host may have forgotten what became of it. */
+	if (boot_clock_ms() > c->attempt_boot_ms + QUERY_AGE_MAX_MS) {
+		lose_attempt(c, 1);
+		return;
+	}
 	c->state = ATTEMPT_ASKED;
 	c->asked_ms = caller_now_ms(t);
 	caller_count(t, COUNTER_call_queries);
+	packet = packet_create(FESCUE__PACKET__BODY_CALL_QUERY);
 	packet->call_query->call_id = c->attempt_id;
+	packet->call_query->epoch = c->attempt_epoch;
 	task_send(t->links, call_last_tried(c), packet);
 }
 
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -36,6 +36,8 @@
 	enum attempt_state state;
 	uint64_t attempt_id; /* 0 between attempts */
 	uint64_t attempt_us;
+	uint64_t attempt_epoch; /* of its host when it was sent */
+	uint64_t attempt_boot_ms; /* by a clock that counts suspensions */
 	uint64_t asked_ms;
 	enum call_outcome outcome; /* of all attempts that ended */
 	uint32_t retry_after_ms; /* the least that a refusing host named */
--- a/src/events.c
+++ b/src/events.c
@@ -69,3 +69,11 @@
 	va_end(args);
 	fputs("}\n", log->file);
 }
+
+uint64_t boot_clock_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
--- a/src/events.h
+++ b/src/events.h
@@ -27,6 +27,9 @@
 /* Wall clock in microseconds, comparable between processes of one host. */
 uint64_t wall_clock_us(void);
 
+/* Milliseconds of a clock that only rises and counts suspensions. */
+uint64_t boot_clock_ms(void);
+
 /* Microseconds of a clock that only rises, for durations. */
 uint64_t monotonic_clock_us(void);
 
--- a/src/member_table.c
+++ b/src/member_table.c
@@ -108,6 +108,7 @@
 	g_strlcpy(host->service, record->service, sizeof(host->service));
 	host->slots = record->slots;
 	host->capacity = record->capacity;
+	host->epoch = record->epoch;
 	host->serving = record->serving;
 	host->operator_port = (uint16_t)record->operator_port;
 	host->caller_port = (uint16_t)record->caller_port;
@@ -125,6 +126,7 @@
 	packet_set_string(&record->service, host->service);
 	record->slots = host->slots;
 	record->capacity = host->capacity;
+	record->epoch = host->epoch;
 	record->serving = host->serving;
 	record->operator_port = host->operator_port;
 	record->caller_port = host->caller_port;
--- a/src/node.c
+++ b/src/node.c
@@ -89,6 +89,14 @@
 	return NULL;
 }
 
+static uint64_t epoch_of(void *data, uint64_t address)
+{
+	struct node *node = data;
+	const struct host *host = membership_find(node->membership, address);
+
+	return host ? host->epoch : 0;
+}
+
 static int is_stopping(void *data)
 {
 	return node_is_draining(data);
@@ -242,7 +250,8 @@
 		break;
 	case FESCUE__PACKET__BODY_CALL_QUERY:
 		backend_server_query(node->backend, from,
-				     packet->call_query->call_id);
+				     packet->call_query->call_id,
+				     packet->call_query->epoch);
 		break;
 	case FESCUE__PACKET__BODY_CALL_RUNNING:
 		caller_table_running(node->callers, from,
@@ -393,6 +402,7 @@
 		.seed = seed,
 		.snapshot = snapshot_for_caller,
 		.is_stopping = is_stopping,
+		.epoch_of = epoch_of,
 		.data = node,
 	};
 
@@ -401,6 +411,7 @@
 		.counters = &node->counters,
 		.headers = interface_headers(s->interface),
 		.own = node->own,
+		.epoch = membership_self(node->membership)->epoch,
 		.send = send_packet,
 		.data = node,
 	};
@@ -429,6 +440,7 @@
 		.incarnation = wall_clock_us() / 1000,
 		.state = HOST_ALIVE,
 		.capacity = s->capacity,
+		.epoch = wall_clock_us(),
 		.operator_port = (uint16_t)s->operator_port,
 		.caller_port = (uint16_t)s->caller_port,
 	};
--- a/src/task_links.h
+++ b/src/task_links.h
@@ -16,6 +16,7 @@
 	struct counters *counters;
 	const struct header_names *headers;
 	uint64_t own; /* address_key() of this node */
+	uint64_t epoch; /* of this node, as its peers know it */
 	/* Deliver a packet to a node, perhaps this one; takes ownership. */
 	void (*send)(void *data, uint64_t to, Fescue__Packet *packet);
 	void *data;
--- a/test/test_announcement.cc
+++ b/test/test_announcement.cc
@@ -147,6 +147,23 @@
 	answer_memory_destroy(m);
 }
 
+/* An answer that is kept no more must not pass for a call that never came. */
+TEST(answer_memory, forgotten_answers_are_not_unknown_calls)
+{
+	struct answer_memory *m = answer_memory_create(release);
+	void *answer;
+
+	answer_memory_see(m, 1, 2, 0);
+	EXPECT_EQ(answer_memory_find(m, 1, 2, &answer), ANSWER_FORGOTTEN);
+	answer_memory_keep(m, 1, 2, g_strdup("x"), 1, 100);
+	EXPECT_EQ(answer_memory_find(m, 1, 2, &answer), ANSWER_KEPT);
+	answer_memory_expire(m, ANSWER_SEEN_MS - 1);
+	EXPECT_EQ(answer_memory_find(m, 1, 2, &answer), ANSWER_FORGOTTEN);
+	answer_memory_expire(m, ANSWER_SEEN_MS);
+	EXPECT_EQ(answer_memory_find(m, 1, 2, &answer), ANSWER_UNKNOWN);
+	answer_memory_destroy(m);
+}
+
 TEST(answer_memory, barred_calls_stay_barred)
 {
 	struct answer_memory *m = answer_memory_create(release);
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -32,6 +32,7 @@
 		links.counters = &counters;
 		links.headers = interface_headers(INTERFACE_PLATFORM);
 		links.own = 1;
+		links.epoch = 99;
 		links.send = [](void *data, uint64_t, Fescue__Packet *p) {
 			((fixture *)data)->sent.push_back(p);
 		};
@@ -111,19 +112,31 @@
 {
 	fixture f(nobody);
 
-	backend_server_query(f.backend, 7, 1);
+	backend_server_query(f.backend, 7, 1, 99);
 	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
 	f.call(1);
 	f.turn();
 	EXPECT_EQ(f.runs(), 0u);
 }
 
+/* The node that got the call is gone: the one in its place cannot tell. */
+TEST(backend_server, call_of_an_earlier_start_may_have_run)
+{
+	fixture f(nobody);
+
+	backend_server_query(f.backend, 7, 1, 98);
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__UNKNOWN });
+	EXPECT_TRUE(f.sent.back()->call_answer->arrived);
+	backend_server_query(f.backend, 7, 2, 0);
+	EXPECT_EQ(f.outcomes().back(), FESCUE__OUTCOME__UNKNOWN);
+}
+
 TEST(backend_server, call_that_waits_is_reported_as_running)
 {
 	fixture f(nobody);
 
 	f.call(1);
-	backend_server_query(f.backend, 7, 1);
+	backend_server_query(f.backend, 7, 1, 99);
 	ASSERT_FALSE(f.sent.empty());
 	EXPECT_EQ(f.sent.back()->body_case, FESCUE__PACKET__BODY_CALL_RUNNING);
 }
