--- a/test/system/_common.sh
+++ b/test/system/_common.sh
@@ -125,7 +125,14 @@
 	calls=$(sum_counter calls_received)
 	attempts=$(sum_counter attempts)
 	sent=$(sed -n 's/^class=urgent sent=\([0-9]*\) .*/\1/p' "$out/load.txt")
-	test "$calls" -ge $((sent * 11)) || fail "only $calls calls for $sent chains"
+	test "$calls" -ge $((sent * 11)) ||
+		fail "only $calls calls for $sent chains;" \
+			"$(for number in calls_not_run calls_unknown \
+				calls_canceled served_refused served_expired \
+				links_failed call_queries backend_failures
+			do
+				echo "$number=$(sum_counter $number)"
+			done | tr '\n' ' ')"
 	judge
 	echo "chains=$sent calls=$calls attempts=$attempts"
 	# The budget starts with 10 retries a node; the bound is on what is earned.
