Print the parts of a route in fescuectl explain

Found by reading as a newcomer: explain still looked for one service and its hosts, printed an empty name and said "withdrawn" of every route since routes have parts. The scenario operators now asks it. Also, the variable that names the settings file moves to platform/, with the platform's other names.

--- a/programs/fescue_node.c
+++ b/programs/fescue_node.c
@@ -5,15 +5,13 @@
 #include "fescue/error.h"
 #include "log.h"
 #include "node.h"
+#include "platform/platform.h"
 #include "program.h"
 
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
-/* Holds the path of the settings file when no argument names one. */
-#define SETTINGS_VARIABLE "FESCUEHITCH_NODE_FILE"
-
 static int run(const struct node_settings *settings, const char *path,
 	       const char *events_path)
 {
@@ -64,7 +62,7 @@
 	program_parse(&argc, &argv, entries, "SETTINGS",
 		      "Runs beside a backend server, enforces the rules file "
 		      "and carries calls.");
-	path = argc == 2 ? argv[1] : getenv(SETTINGS_VARIABLE);
+	path = argc == 2 ? argv[1] : getenv(platform_settings_variable);
 	if (!check && !path)
 		program_usage_error("fescue-node", "name one settings file");
 	if (node_settings_read(check ? check : path, &settings, message)) {
--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -179,31 +179,45 @@
 	question_clear(&config);
 }
 
+static void print_backend(const json_t *host)
+{
+	printf("backend server at %s in %s, %" PRId64 " slots%s\n",
+	       text_of(host, "address"), text_of(host, "failure_domain"),
+	       number_of(host, "slots"),
+	       json_is_true(json_object_get(host, "ejected")) ?
+		       ", ejected after failures" :
+		       "");
+}
+
+/* A service that takes a share of the route's calls, and its hosts. */
+static void print_part(const json_t *part)
+{
+	const json_t *hosts = json_object_get(part, "hosts");
+
+	printf("service %s, weight %" PRId64 "%s\n", text_of(part, "service"),
+	       number_of(part, "weight"),
+	       json_array_size(hosts) ?
+		       "" :
+		       ": withdrawn, it has no backend server now; start one");
+	for (size_t i = 0; i < json_array_size(hosts); i++)
+		print_backend(json_array_get(hosts, i));
+}
+
 static void print_explanation(const json_t *answer)
 {
-	json_t *hosts = json_object_get(answer, "hosts");
+	const json_t *parts = json_object_get(answer, "parts");
 
-	printf("version %" PRId64 ": service %s, class %s, idempotent %s, "
-	       "deadline %" PRId64 " ms, retries %" PRId64 "\n",
-	       number_of(answer, "version"), text_of(answer, "service"),
-	       text_of(answer, "class"),
+	printf("version %" PRId64 ": class %s, rank %" PRId64
+	       ", idempotent %s, deadline %" PRId64 " ms, latency %" PRId64
+	       " ms, retries %" PRId64 "\n",
+	       number_of(answer, "version"), text_of(answer, "class"),
+	       number_of(answer, "rank"),
 	       json_is_true(json_object_get(answer, "idempotent")) ? "yes" :
 								     "no",
-	       number_of(answer, "deadline_ms"), number_of(answer, "retries"));
-	if (!json_array_size(hosts))
-		printf("withdrawn: the service has no backend server now; "
-		       "start one\n");
-	for (size_t i = 0; i < json_array_size(hosts); i++) {
-		const json_t *host = json_array_get(hosts, i);
-
-		printf("backend server at %s in %s, %" PRId64 " slots%s\n",
-		       text_of(host, "address"),
-		       text_of(host, "failure_domain"),
-		       number_of(host, "slots"),
-		       json_is_true(json_object_get(host, "ejected")) ?
-			       ", ejected after failures" :
-			       "");
-	}
+	       number_of(answer, "deadline_ms"),
+	       number_of(answer, "latency_ms"), number_of(answer, "retries"));
+	for (size_t i = 0; i < json_array_size(parts); i++)
+		print_part(json_array_get(parts, i));
 }
 
 int ctl_explain(struct ctl *ctl, const char *path)
--- a/test/system/operators.sh
+++ b/test/system/operators.sh
@@ -31,6 +31,13 @@
 apply ereszkor "$out/c.rules" | grep -q accepted || fail "lost answer"
 test "$(store_counter ereszkor lost_answers)" = 1 || fail "no answer was lost"
 
+# "explain" names the service and its backend servers.
+explained=$("$bin/fescuectl" --node "$(node_ip ereszkor 1):9000" \
+	explain /rounds/jobs --method POST)
+echo "$explained" | grep -q '^service rounds, weight 1$' &&
+	test "$(echo "$explained" | grep -c '^backend server at')" = 5 ||
+	fail "explain says: $explained"
+
 # During an outage nothing is claimed to be accepted.
 "$bin/fescuectl" edit "$out/c.rules" --add "route GET */d/ rounds # Dora" \
 	>/dev/null
