Let calls leave a crowded domain while they can be in time

Late calls took slots since half of those that start just in time end late.

Ruled out: slots held by nested calls (runs of myshift last 41 to 63 ms, as their work does), processor time (0.015 of a core).

Change: what crossing costs is weighed against waiting only; a call waits for a slot only while another host with room can still be in time; a call counts as late when less than 1.5 of its kind's time is left.

--- a/fescue/router.h
+++ b/fescue/router.h
@@ -83,6 +83,7 @@
 	double service_ms; /* time of such a call in a slot; 0: not known */
 	double kilobytes; /* of request and answer, expected */
 	uint32_t remaining_ms; /* until the call's deadline */
+	uint32_t latency_ms; /* until it is worth less; 0: it is late already */
 	uint64_t now_ms;
 };
 
@@ -99,6 +100,14 @@
 		    const struct router_question *question, uint64_t host,
 		    struct router_reason *reason);
 
+/*
+ * How long the call may wait for a slot of the host that was chosen for it,
+ * at most limit_ms.
+ */
+uint32_t router_wait_max(struct router *router,
+			 const struct router_question *question, uint64_t host,
+			 uint32_t limit_ms);
+
 /* A call was sent to the host. Pair with router_finished(). */
 void router_started(struct router *router, uint64_t host, uint64_t now_ms);
 
--- a/src/admission.c
+++ b/src/admission.c
@@ -12,6 +12,8 @@
 #define SHARE_LEFT_MIN 0.1 /* even under a flood of lower ranks */
 /* Work times vary: below this part of the mean a call has no real chance. */
 #define CHANCE_SHARE 0.6
+/* Work times vary: with this part of the mean left most calls end in time. */
+#define IN_TIME_FACTOR 1.5
 #define BACKGROUND_GRANT_PERIOD 10
 #define DEPTH_LEVELS 16 /* of nested calls that are told apart */
 /* Longest time between two calls of a depth for which slots are kept. */
@@ -171,12 +173,13 @@
 	return MAX(1 - before_us / full_us, SHARE_LEFT_MIN);
 }
 
+/* Would most calls of the kind that start now end after the due time? */
 static int is_late(const struct admission *a, const struct admission_call *call,
 		   uint64_t now_ms)
 {
-	return call->due_ms &&
-	       now_ms + (uint64_t)(kind_us(a, call->kind) / 1000) >
-		       call->due_ms;
+	double ms = kind_us(a, call->kind) / 1000 * IN_TIME_FACTOR;
+
+	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
 }
 
 /* Which of two waiting calls goes first; x came before y if they are equal. */
--- a/src/caller.c
+++ b/src/caller.c
@@ -130,7 +130,8 @@
 	return until_ms > now ? (uint32_t)(until_ms - now) : 0;
 }
 
-static Fescue__Packet *create_request(const struct call *c)
+static Fescue__Packet *create_request(const struct call *c,
+				      uint32_t wait_max_ms)
 {
 	struct service_handle service;
 	Fescue__Packet *packet = call_request_create(&c->origin);
@@ -144,9 +145,8 @@
 	request->queue = rule->queue;
 	request->reserve_percent = rule->reserve_percent;
 	request->deadline_ms = remaining_ms(c, c->deadline_ms);
-	request->latency_ms =
-		remaining_ms(c, c->entered_ms + c->contract.latency_ms);
-	request->queue_ms = remaining_ms(c, c->queue_until_ms);
+	request->latency_ms = remaining_ms(c, c->due_ms);
+	request->queue_ms = wait_max_ms;
 	request->rank = c->contract.rank;
 	request->call_class = c->contract.call_class;
 	request->idempotent = c->contract.idempotent;
@@ -158,8 +158,8 @@
 }
 
 /* Send the call to the chosen host, which may be this one. */
-static void send_attempt(struct call *c, uint64_t host, enum log_kind kind,
-			 const struct router_reason *reason)
+static void send_attempt(struct call *c, uint64_t host, uint32_t wait_max_ms,
+			 enum log_kind kind, const struct router_reason *reason)
 {
 	struct caller_table *t = c->callers;
 
@@ -174,7 +174,7 @@
 	caller_count(t, COUNTER_attempts);
 	if (reason)
 		call_log_chosen(c, kind, host, reason);
-	task_send(t->links, host, create_request(c));
+	task_send(t->links, host, create_request(c, wait_max_ms));
 }
 
 static int fill_question(const struct call *c, struct router_question *question)
@@ -191,6 +191,7 @@
 		.excluded_count = c->tried_count,
 		.kilobytes = call_stats_kilobytes(t->stats, route),
 		.remaining_ms = remaining_ms(c, c->deadline_ms),
+		.latency_ms = remaining_ms(c, c->due_ms),
 		.now_ms = caller_now_ms(t),
 	};
 	if (c->tried_count == TRIED_MAX)
@@ -205,6 +206,7 @@
 	struct router *router = c->callers->router;
 	struct router_question question;
 	struct router_reason why;
+	uint32_t wait_max_ms;
 	uint64_t host;
 	int logged;
 
@@ -214,10 +216,12 @@
 			      reason);
 		return;
 	}
+	wait_max_ms = router_wait_max(router, &question, host,
+				      remaining_ms(c, c->queue_until_ms));
 	logged = log_wants(kind);
 	if (logged)
 		router_explain(router, &question, host, &why);
-	send_attempt(c, host, kind, logged ? &why : NULL);
+	send_attempt(c, host, wait_max_ms, kind, logged ? &why : NULL);
 }
 
 static int may_repeat(struct call *c, const struct retry_question *ended)
@@ -418,6 +422,7 @@
 	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
 	c->entered_ms = caller_now_ms(t);
 	c->deadline_ms = c->entered_ms + wait_ms;
+	c->due_ms = c->entered_ms + c->contract.latency_ms;
 	c->queue_until_ms = c->entered_ms + wait_ms / QUEUE_DIVISOR;
 	c->entered_us = monotonic_clock_us();
 	c->outcome = CALL_NOT_RUN;
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -28,6 +28,7 @@
 	struct contract contract;
 	struct call_origin origin;
 	uint64_t entered_ms;
+	uint64_t due_ms; /* an answer is worth less later */
 	uint64_t deadline_ms;
 	uint64_t queue_until_ms; /* it is refused if it still waits for a slot */
 	uint64_t entered_us;
--- a/src/router.c
+++ b/src/router.c
@@ -22,6 +22,8 @@
  */
 #define SAMPLE 2
 #define SAMPLE_ALL_MAX 3 /* so few hosts are all looked at */
+/* Work times vary: with this part of the mean left most calls end in time. */
+#define IN_TIME_FACTOR 1.5
 /* A host whose slots are nearly all taken is slower than an idle one. */
 #define CROWDING_WEIGHT 0.3
 /* Costs this close are equal: entry nodes must not all pick the same host. */
@@ -346,28 +348,6 @@
 	return cost;
 }
 
-static int serves_own_domain(const GArray *candidates,
-			     const struct router_question *q)
-{
-	for (guint i = 0; i < candidates->len; i++)
-		if (is_own_domain(candidate_at(candidates, i), q))
-			return 1;
-	return 0;
-}
-
-/* Has the own domain hosts of the service at all, tried ones included? */
-static int own_domain_has_hosts(const struct router_question *q)
-{
-	size_t n = snapshot_service_host_count(q->snapshot, q->service);
-
-	for (size_t i = 0; i < n; i++)
-		if (!strcmp(snapshot_service_host(q->snapshot, q->service, i)
-				    ->failure_domain,
-			    q->own_domain))
-			return 1;
-	return 0;
-}
-
 /* Keep a random sample of the own domain's hosts and one of the others. */
 static void sample(struct router *r, GArray *candidates,
 		   const struct router_question *q)
@@ -407,9 +387,6 @@
 		costs[i] = expected_cost(r, candidate_at(candidates, i), q);
 		least = MIN(least, costs[i]);
 	}
-	if (least > q->remaining_ms && !serves_own_domain(candidates, q) &&
-	    own_domain_has_hosts(q))
-		least = -HUGE_VAL;
 	for (guint i = 0; i < candidates->len; i++) {
 		if (costs[i] > least * EQUAL_COST_FACTOR + EQUAL_COST_MS)
 			continue;
@@ -478,6 +455,42 @@
 	g_array_free(candidates, TRUE);
 }
 
+/* May another host than this one take the call at once? */
+static int another_has_room(struct router *r, const struct router_question *q,
+			    uint64_t host)
+{
+	GArray *candidates = find_candidates(r, q);
+	int found = 0;
+
+	for (guint i = 0; i < candidates->len && !found; i++) {
+		const struct candidate *c = candidate_at(candidates, i);
+
+		found = c->host->host != host && has_room(r, c, q->now_ms);
+	}
+	g_array_free(candidates, TRUE);
+	return found;
+}
+
+/* By its latest answer and what was sent since, a slot is free there. */
+static int seems_free(const struct router *r, uint64_t host, uint64_t now_ms)
+{
+	const struct host_evidence *e = find_evidence(r, host);
+
+	return !e || aged_load(r, e, now_ms) + e->sent_since < e->load.slots;
+}
+
+uint32_t router_wait_max(struct router *r, const struct router_question *q,
+			 uint64_t host, uint32_t limit_ms)
+{
+	double service = q->service_ms ? q->service_ms : SERVICE_INITIAL_MS;
+	double in_time = q->latency_ms - service * IN_TIME_FACTOR;
+
+	if (in_time <= 0 || in_time >= limit_ms ||
+	    seems_free(r, host, q->now_ms) || !another_has_room(r, q, host))
+		return limit_ms;
+	return (uint32_t)in_time;
+}
+
 void router_started(struct router *r, uint64_t host, uint64_t now_ms)
 {
 	struct host_evidence *e = get_evidence(r, host, now_ms);
