Use the whole grace time of a stop

A stopping node gave up what was in flight 5.5 s after SIGTERM, whatever the platform's grace time; there it is 10 s, and a run that entered 1.3 s after the signal and took 4.8 s was cut.

Ruled out: the link (the run ended after the connection was closed), a kill by the platform (the node ended by itself).

Change: the settings name the grace time, and the drain lasts nine tenths of it. Numbers that the platform measures (the link, the slack of the budget) may have a fraction: such a setting kept a node from starting.

--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -7,6 +7,8 @@
 #include <glib.h>
 #include <string.h>
 
+/* The rest of the grace time is for the end itself, on a busy host too. */
+#define DRAIN_PERCENT_OF_GRACE 90
 #define STOP_MIN_DEFAULT_MS 300 /* for peers to learn of the stop */
 /*
  * Before a host takes calls, the others must know that it exists: what they
@@ -21,6 +23,11 @@
 		key, SETTING_NUMBER, FIELD(member), 0, min, max, NULL \
 	}
 
+#define QUANTITY(key, member, min, max)                                 \
+	{                                                               \
+		key, SETTING_QUANTITY, FIELD(member), 0, min, max, NULL \
+	}
+
 static const char *const modes[] = { "relay", "gossip", "poll", NULL };
 static const char *const router_policies[] = { "cost", "two-choices", "random",
 					       NULL };
@@ -56,13 +63,15 @@
 	  admission_policies },
 	NUMBER("start_jitter_ms", start_jitter_ms, 1, 600000),
 	NUMBER("drain_ms", drain_ms, 0, 600000),
+	{ "stop_grace_s", SETTING_SECONDS, FIELD(stop_grace_ms), 0, 0, 600,
+	  NULL },
 	NUMBER("stop_serve_ms", stop_serve_ms, 0, 600000),
 	NUMBER("stop_min_ms", stop_min_ms, 0, 600000),
 	NUMBER("announce_delay_ms", announce_delay_ms, 0, 60000),
 	NUMBER("cross_domain_ms_per_kb", cross_domain_ms_per_kb, 0, 60000),
-	NUMBER("retry_burst", retry_burst, 0, 1000000),
+	QUANTITY("retry_burst", retry_burst, 0, 1000000),
 	NUMBER("fetch_delay_ms", distribution.fetch_delay_ms, 0, 60000),
-	NUMBER("capacity", capacity, 0, 10000000),
+	QUANTITY("capacity", capacity, 0, 10000000),
 	NUMBER("deltas", deltas, 0, 1),
 	NUMBER("witness", witness, 0, 1),
 	NUMBER("relays_per_domain", distribution.relays_per_domain, 1, 16),
@@ -105,6 +114,9 @@
 	node_settings_init(settings);
 	error = settings_read(path, table, sizeof(table) / sizeof(*table),
 			      settings, message);
+	if (!error && settings->stop_grace_ms)
+		settings->drain_ms =
+			settings->stop_grace_ms / 100 * DRAIN_PERCENT_OF_GRACE;
 	settings->distribution.deltas = (int)settings->deltas;
 	settings->distribution.witness = (int)settings->witness;
 	if (!error && !settings->callers.port && !settings->caller_port) {
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -27,6 +27,7 @@
 	struct address store;
 	uint32_t start_jitter_ms; /* spread of first store reads */
 	uint32_t drain_ms; /* longest wait for calls in flight on a stop */
+	uint32_t stop_grace_ms; /* till a stopping node is killed; 0: not known */
 	int interface; /* enum interface_type */
 	struct address callers; /* port 0: address and caller_port */
 	struct address announcements; /* port 0: on the operator port only */
--- a/src/settings.c
+++ b/src/settings.c
@@ -8,6 +8,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#define MS_PER_S 1000
+
 struct reader {
 	const char *path;
 	const struct setting *table;
@@ -44,6 +46,21 @@
 	return FESCUE_OK;
 }
 
+/* A number that may have a fraction, counted in units of 1 / scale. */
+static int read_scaled(struct reader *r, const struct setting *s,
+		       const json_t *value, uint32_t scale)
+{
+	double real = json_number_value(value);
+
+	if (!json_is_number(value) || real < s->min || real > s->max)
+		return fail(r,
+			    "%s: key '%s': expected a number from %u to %u; "
+			    "correct the value",
+			    r->path, s->key, s->min, s->max);
+	*(uint32_t *)(void *)(r->out + s->offset) = (uint32_t)(real * scale);
+	return FESCUE_OK;
+}
+
 static int read_text(struct reader *r, const struct setting *s,
 		     const json_t *value)
 {
@@ -113,6 +130,10 @@
 	switch (s->type) {
 	case SETTING_NUMBER:
 		return read_number(r, s, value);
+	case SETTING_QUANTITY:
+		return read_scaled(r, s, value, 1);
+	case SETTING_SECONDS:
+		return read_scaled(r, s, value, MS_PER_S);
 	case SETTING_TEXT:
 		return read_text(r, s, value);
 	case SETTING_ADDRESS:
--- a/src/settings.h
+++ b/src/settings.h
@@ -9,6 +9,8 @@
 
 enum setting_type {
 	SETTING_NUMBER, /* uint32_t */
+	SETTING_QUANTITY, /* uint32_t; a fraction is dropped */
+	SETTING_SECONDS, /* uint32_t, in ms; fractions are allowed */
 	SETTING_TEXT, /* char[SETTING_TEXT_BYTES] */
 	SETTING_ADDRESS, /* struct address, "IP:PORT" */
 	SETTING_IP, /* uint32_t in host byte order */
--- a/test/test_settings.cc
+++ b/test/test_settings.cc
@@ -9,11 +9,12 @@
 namespace
 {
 
+struct node_settings settings;
+
 std::string read(const std::string &text)
 {
 	char path[] = "/tmp/fescue-settings-XXXXXX";
 	int fd = mkstemp(path);
-	struct node_settings settings;
 	char message[SETTINGS_ERROR_BYTES] = "";
 
 	EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
@@ -42,6 +43,22 @@
 		  "good");
 }
 
+/* A run that ends within the grace time of a stop is not cut. */
+TEST(settings, a_stop_uses_its_grace_time)
+{
+	read(std::string(good) + ", \"drain_ms\": 700}");
+	EXPECT_EQ(settings.drain_ms, 700u);
+	for (uint32_t grace_s : { 6, 10, 30 }) {
+		read(std::string(good) +
+		     ", \"stop_grace_s\": " + std::to_string(grace_s) + "}");
+		/* The platform counts runs till the last sixth; then it kills. */
+		EXPECT_GE(settings.drain_ms, grace_s * 1000 * 5 / 6);
+		EXPECT_LE(settings.drain_ms, grace_s * 1000 - 500);
+	}
+	read(std::string(good) + ", \"stop_grace_s\": 6.5}");
+	EXPECT_EQ(settings.drain_ms, 5850u);
+}
+
 TEST(settings, errors_name_key_expectation_and_remedy)
 {
 	std::string base(good);
@@ -61,9 +78,22 @@
 	expect_message("", "correct the JSON");
 }
 
+/* What the platform measures may have a fraction. */
+TEST(settings, quantities_may_have_fractions)
+{
+	EXPECT_EQ(read(std::string(good) + ", \"capacity\": 7.5, "
+					   "\"retry_burst\": 58.4}"),
+		  "good");
+	EXPECT_EQ(settings.capacity, 7u);
+	EXPECT_EQ(settings.retry_burst, 58u);
+	expect_message(std::string(good) + ", \"capacity\": -1}",
+		       "expected a number from 0 to 10000000");
+	expect_message(std::string(good) + ", \"stop_grace_s\": \"6\"}",
+		       "expected a number from 0 to 600");
+}
+
 TEST(settings, missing_file)
 {
-	struct node_settings settings;
 	char message[SETTINGS_ERROR_BYTES];
 
 	EXPECT_EQ(node_settings_read("/nonexistent/x", &settings, message),
