Order waiting calls by what their time in a slot is worth

Nested calls of 28 ms stood behind calls of 140 ms of their rank, were handed back after 35 ms since some host of 37 always seemed to have room, and failed the calls above them. On hosts of 0.6 of the usual speed every call that waits counts as late, and the oldest went first, so all of them were. Calls started with too little time to end.

Change: within a rank far shorter calls go first, a late answer counting half; of late calls the newest goes first; a call starts only with 1.5 of its kind's time left; another host counts as having room by the latest news of its side.

--- a/src/admission.c
+++ b/src/admission.c
@@ -10,10 +10,10 @@
 #define KINDS_MAX 256 /* routes come and go with versions */
 #define SHARE_HALF_LIFE_MS 1000.0 /* of the work that ranks were granted */
 #define SHARE_LEFT_MIN 0.1 /* even under a flood of lower ranks */
-/* Work times vary: below this part of the mean a call has no real chance. */
-#define CHANCE_SHARE 0.6
 /* Work times vary: with this part of the mean left most calls end in time. */
 #define IN_TIME_FACTOR 1.5
+#define LATE_WORTH 0.5 /* of an answer in time */
+#define FAR_SHORTER_FACTOR 2.0
 #define BACKGROUND_GRANT_PERIOD 10
 #define DEPTH_LEVELS 16 /* of nested calls that are told apart */
 /* Longest time between two calls of a depth for which slots are kept. */
@@ -182,22 +182,45 @@
 	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
 }
 
+/* Time in a slot that the call takes for what its answer is worth. */
+static double worth_price_us(const struct admission *a,
+			     const struct admission_call *call, int late)
+{
+	return kind_us(a, call->kind) / (late ? LATE_WORTH : 1);
+}
+
+/*
+ * Which of two waiting calls of one rank and depth goes first. Far shorter ones
+ * do: calls that running calls wait for are, and a slot serves more of them. Of
+ * calls that are late the newest goes first, which may still be in time.
+ */
+static int is_better_use(const struct admission *a,
+			 const struct admission_call *x,
+			 const struct admission_call *y, uint64_t now_ms)
+{
+	int late_x = is_late(a, x, now_ms), late_y = is_late(a, y, now_ms);
+	double price_x = worth_price_us(a, x, late_x);
+	double price_y = worth_price_us(a, y, late_y);
+
+	if (price_x * FAR_SHORTER_FACTOR < price_y)
+		return 1;
+	if (price_y * FAR_SHORTER_FACTOR < price_x)
+		return 0;
+	if (late_x != late_y)
+		return late_y;
+	return late_x ? x->due_ms >= y->due_ms : x->due_ms <= y->due_ms;
+}
+
 /* Which of two waiting calls goes first; x came before y if they are equal. */
 static int goes_before(const struct admission *a,
 		       const struct admission_call *x,
 		       const struct admission_call *y, uint64_t now_ms)
 {
-	int late_x, late_y;
-
 	if (x->rank != y->rank)
 		return x->rank < y->rank;
 	if (x->depth != y->depth)
 		return x->depth > y->depth;
-	late_x = is_late(a, x, now_ms);
-	late_y = is_late(a, y, now_ms);
-	if (late_x != late_y)
-		return late_y;
-	return x->due_ms <= y->due_ms;
+	return is_better_use(a, x, y, now_ms);
 }
 
 /* Expected milliseconds until a call that joins the queue now has a slot. */
@@ -325,7 +348,7 @@
 	double needed_ms = 0;
 
 	if (a->policy != ADMISSION_FIFO)
-		needed_ms = kind_us(a, call->kind) / 1000 * CHANCE_SHARE;
+		needed_ms = kind_us(a, call->kind) / 1000 * IN_TIME_FACTOR;
 	return now_ms < call->queue_until_ms &&
 	       now_ms + (uint64_t)needed_ms < call->deadline_ms;
 }
--- a/src/router.c
+++ b/src/router.c
@@ -24,6 +24,9 @@
 #define SAMPLE_ALL_MAX 3 /* so few hosts are all looked at */
 /* Work times vary: with this part of the mean left most calls end in time. */
 #define IN_TIME_FACTOR 1.5
+/* Of a side of the fleet, against one host that has just told its load. */
+#define NO_NEWS_WEIGHT 0.25
+#define ROOM_LIKELY 0.5
 /* A host whose slots are nearly all taken is slower than an idle one. */
 #define CROWDING_WEIGHT 0.3
 /* Costs this close are equal: entry nodes must not all pick the same host. */
@@ -455,20 +458,47 @@
 	g_array_free(candidates, TRUE);
 }
 
+/*
+ * How likely a host of one side, the own domain or the others, has a free slot:
+ * the share of those that lately told their load. What was never told is taken
+ * for room, with little weight, so that a side without news is tried at times.
+ */
+static double likely_room(const struct router *r, const GArray *candidates,
+			  const struct router_question *q, uint64_t but,
+			  int own)
+{
+	double roomy = NO_NEWS_WEIGHT, all = NO_NEWS_WEIGHT;
+	int any = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct candidate *c = candidate_at(candidates, i);
+		const struct host_evidence *e = c->evidence;
+		double age = (double)(q->now_ms - e->load_at_ms);
+		double weight = exp2(-age / r->settings.load_half_life_ms);
+
+		if (c->host->host == but || is_own_domain(c, q) != own)
+			continue;
+		any = 1;
+		if (!e->load.slots)
+			continue;
+		all += weight;
+		if (e->load.in_use + e->load.queued + e->sent_since <
+		    e->load.slots)
+			roomy += weight;
+	}
+	return any ? roomy / all : 0;
+}
+
 /* May another host than this one take the call at once? */
 static int another_has_room(struct router *r, const struct router_question *q,
 			    uint64_t host)
 {
 	GArray *candidates = find_candidates(r, q);
-	int found = 0;
+	double room = MAX(likely_room(r, candidates, q, host, 1),
+			  likely_room(r, candidates, q, host, 0));
 
-	for (guint i = 0; i < candidates->len && !found; i++) {
-		const struct candidate *c = candidate_at(candidates, i);
-
-		found = c->host->host != host && has_room(r, c, q->now_ms);
-	}
 	g_array_free(candidates, TRUE);
-	return found;
+	return room > ROOM_LIKELY;
 }
 
 /* By its latest answer and what was sent since, a slot is free there. */
