Tell late copies of answers apart without an id; give up answers without end

Cause: an answer without the request's id was taken for the call's own on any connection: a late copy that carries none would have gone to the next caller, and a late 503 'not executed' would have become a false promise. A server that sends interim answers, or answers to other requests, without end held a call until its deadline, and bodies of 4 MB each, a hundred at once, were more than a host of 160 MB has.

Ruled out: heads, trailers, chunk extensions without end: http-parser counts them and stops at 80 KB (played in the test); frames between nodes: ids of calls are not used twice.

Change: an unnamed answer on a used connection ends the call with 'may have run'; on a new one it is taken and the connection is closed. 16 interim and 4 foreign answers at most; bodies that come in from one server: 16 MB at once.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -13,6 +13,11 @@
 #define IDLE_DEFAULT_MS 30000 /* for peers that state no Keep-Alive time */
 #define IDLE_MARGIN_MS 1000 /* the peer's clock starts before ours */
 #define HEADERS_MAX 100
+/* What a server in trouble may send before the answer to a request. */
+#define INTERIM_ANSWERS_MAX 16
+#define FOREIGN_ANSWERS_MAX 4
+/* Bodies of one server that are held at once, while they come in. */
+#define BODIES_MAX_BYTES (4 * HTTP_MAX_BODY_BYTES)
 
 struct http_pool {
 	uv_loop_t *loop;
@@ -22,6 +27,7 @@
 	GQueue idle; /* struct http_conn, the latest used at the head */
 	size_t conns; /* not yet freed */
 	size_t calls; /* not yet freed */
+	size_t body_bytes; /* of answers that are held */
 	uint64_t opened;
 	int released;
 };
@@ -38,7 +44,9 @@
 	uint32_t idle_limit_ms;
 	int writing;
 	int used; /* carried a request before the present one */
-	int tainted; /* an answer to another request came on it */
+	int tainted; /* answers on it do not show what request they are to */
+	uint32_t foreign; /* answers to other requests since the last one */
+	uint32_t interim; /* answers of status 1xx since the last request */
 	int closing;
 };
 
@@ -137,11 +145,17 @@
 	return pool->opened;
 }
 
+size_t http_pool_body_bytes(const struct http_pool *pool)
+{
+	return pool->body_bytes;
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct http_call *call = handle->data;
 	struct http_pool *pool = call->pool;
 
+	pool->body_bytes -= call->body->len;
 	g_string_free(call->request, TRUE);
 	g_string_free(call->name, TRUE);
 	g_string_free(call->value, TRUE);
@@ -193,6 +207,7 @@
 	g_array_set_size(call->headers, 0);
 	g_string_truncate(call->name, 0);
 	g_string_truncate(call->value, 0);
+	call->pool->body_bytes -= call->body->len;
 	g_string_truncate(call->body, 0);
 	call->reading_value = 0;
 }
@@ -248,11 +263,13 @@
 {
 	struct http_call *call = call_of(parser);
 
-	if (call->body->len + length > HTTP_MAX_BODY_BYTES) {
+	if (call->body->len + length > HTTP_MAX_BODY_BYTES ||
+	    call->pool->body_bytes + length > BODIES_MAX_BYTES) {
 		call->too_big = 1;
 		return 1;
 	}
 	g_string_append_len(call->body, at, (gssize)length);
+	call->pool->body_bytes += length;
 	return 0;
 }
 
@@ -265,17 +282,31 @@
 	return NULL;
 }
 
-/* An answer that names another request arrived late or was not asked for. */
-static int answer_is_ours(const struct http_call *call)
+enum answer_owner {
+	ANSWER_OURS,
+	ANSWER_FOREIGN, /* it names another request: it came late, or twice */
+	ANSWER_UNNAMED,
+};
+
+static enum answer_owner answer_owner(const struct http_call *call)
 {
 	const char *value;
 
 	if (!call->echo)
-		return 1;
+		return ANSWER_OURS;
 	value = find_header(
 		(const struct http_header *)(void *)call->headers->data,
 		call->headers->len, call->echo_name);
-	return !value || !strcmp(value, call->echo);
+	if (!value)
+		return ANSWER_UNNAMED;
+	return strcmp(value, call->echo) ? ANSWER_FOREIGN : ANSWER_OURS;
+}
+
+/* Returns 0 to go on reading, or 1 when the server sends too many of these. */
+static int skip_answer(struct http_call *call, uint32_t *count, uint32_t max)
+{
+	call_reset_answer(call);
+	return ++*count > max;
 }
 
 static int on_message_complete(http_parser *parser)
@@ -283,14 +314,20 @@
 	struct http_conn *conn = parser->data;
 	struct http_call *call = conn->call;
 
-	if (parser->status_code / 100 == 1) {
-		call_reset_answer(call);
-		return 0;
-	}
-	if (!answer_is_ours(call)) {
+	if (parser->status_code / 100 == 1)
+		return skip_answer(call, &conn->interim, INTERIM_ANSWERS_MAX);
+	switch (answer_owner(call)) {
+	case ANSWER_OURS:
+		break;
+	case ANSWER_FOREIGN:
+		conn->tainted = 1;
+		return skip_answer(call, &conn->foreign, FOREIGN_ANSWERS_MAX);
+	case ANSWER_UNNAMED:
+		/* It may be a late copy of an answer to an earlier request. */
+		if (conn->used)
+			return 1;
 		conn->tainted = 1;
-		call_reset_answer(call);
-		return 0;
+		break;
 	}
 	call->complete = 1;
 	http_parser_pause(parser, 1);
@@ -436,6 +473,8 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->tainted = 0;
+	conn->foreign = 0;
+	conn->interim = 0;
 	written = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
 	if (written < 0 && written != UV_EAGAIN) {
 		fail_later(call, FESCUE_EPARTIAL);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -3,7 +3,9 @@
  *
  * A connection carries one request at a time. It is kept for the next one
  * only when the answer was complete and nothing followed it; an idle
- * connection on which bytes or an end arrive is closed.
+ * connection on which bytes or an end arrive is closed. Whatever a server
+ * sends, a call ends in its time, and what is held of answers is bounded: 80 KB
+ * of a head, HTTP_MAX_BODY_BYTES of a body, four times that of all at once.
  */
 #ifndef FESCUE_HTTP_CLIENT_H
 #define FESCUE_HTTP_CLIENT_H
@@ -24,8 +26,9 @@
 	size_t body_size;
 	uint32_t timeout_ms;
 	/*
-	 * If set, the answer must carry echo_name with the value echo; an
-	 * answer with another value belongs to another request and is skipped.
+	 * If set, the answer must carry echo_name with the value echo. One with
+	 * another value belongs to another request and is skipped. One without
+	 * it is taken on a new connection only, which is not used again.
 	 */
 	const char *echo_name;
 	const char *echo;
@@ -58,6 +61,9 @@
 /* Connections opened so far. */
 uint64_t http_pool_opened(const struct http_pool *pool);
 
+/* Bytes held of bodies that come in. */
+size_t http_pool_body_bytes(const struct http_pool *pool);
+
 /*
  * Send a request; everything in it is copied. done is called once from the
  * loop, never from within this function, unless the call is canceled; the
--- a/test/scripted_peer.h
+++ b/test/scripted_peer.h
@@ -20,7 +20,9 @@
 /* What the peer does once it has read a request. */
 struct step {
 	std::string bytes;
-	enum { KEEP, CLOSE, RESET, HANG } end;
+	/* FLOOD: send "again" until the client closes. */
+	enum { KEEP, CLOSE, RESET, HANG, FLOOD } end;
+	std::string again = {};
 };
 
 /* A peer that plays one step a request, each connection going on. */
@@ -29,6 +31,7 @@
 	struct address address = { 0x7f000001, 0 };
 	std::vector<step> steps;
 	int connections = 0;
+	size_t flooded = 0; /* bytes that were taken off its hands */
 	std::vector<std::string> requests; /* first line and body of each */
 	std::thread thread;
 
@@ -83,6 +86,10 @@
 				  (ssize_t)s.bytes.size());
 			if (s.end == step::KEEP)
 				continue;
+			if (s.end == step::FLOOD)
+				while (write(fd, s.again.data(),
+					     s.again.size()) > 0)
+					flooded += s.again.size();
 			if (s.end == step::HANG) {
 				while (read(fd, hung, sizeof(hung)) > 0)
 					continue; /* until it is given up */
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -4,7 +4,9 @@
  */
 #include "scripted_peer.h"
 
+#include <atomic>
 #include <csignal>
+#include <map>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -71,6 +73,57 @@
 	}
 };
 
+/* A server that sends the same to whoever connects, and holds the line. */
+struct endless_server {
+	std::string bytes;
+	int listener;
+	struct address address = { 0x7f000001, 0 };
+	std::atomic<bool> stop{ false };
+	std::thread thread;
+
+	explicit endless_server(std::string b) : bytes(std::move(b))
+	{
+		struct sockaddr_in in = {};
+		socklen_t len = sizeof(in);
+
+		in.sin_family = AF_INET;
+		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		bind(listener, (struct sockaddr *)&in, sizeof(in));
+		listen(listener, 200);
+		getsockname(listener, (struct sockaddr *)&in, &len);
+		address.port = ntohs(in.sin_port);
+		thread = std::thread([this] { serve(); });
+	}
+	~endless_server()
+	{
+		stop = true;
+		thread.join();
+		close(listener);
+	}
+	void serve()
+	{
+		std::map<int, size_t> sent; /* by connection */
+
+		while (!stop) {
+			int fd = accept4(listener, nullptr, nullptr,
+					 SOCK_NONBLOCK);
+
+			if (fd >= 0)
+				sent[fd] = 0;
+			for (auto &s : sent) {
+				ssize_t n = write(s.first,
+						  bytes.data() + s.second,
+						  bytes.size() - s.second);
+
+				s.second += n > 0 ? (size_t)n : 0;
+			}
+		}
+		for (auto &s : sent)
+			close(s.first);
+	}
+};
+
 std::string sized(const char *id, const std::string &body)
 {
 	return std::string("HTTP/1.1 200 OK\r\nx-id: ") + id +
@@ -134,6 +187,114 @@
 	EXPECT_FALSE(a.reused);
 }
 
+/* The second copy of an answer comes when the connection is in use again. */
+TEST(http_client, late_copy_is_not_the_answer_to_the_next_request)
+{
+	scripted_peer peer(
+		{ { sized("1", "one"), step::KEEP, "" },
+		  { sized("1", "one") + sized("2", "two"), step::KEEP, "" } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get("1").body, "one");
+	struct answer a = c.get("2");
+	EXPECT_EQ(a.error, FESCUE_OK);
+	EXPECT_EQ(a.body, "two");
+	EXPECT_TRUE(a.reused);
+}
+
+/* Such a copy that names no request could be anybody's. */
+TEST(http_client, late_copy_without_an_id_is_nobodys_answer)
+{
+	const std::string copy = "HTTP/1.1 503 Busy\r\nnot-executed: 1\r\n"
+				 "content-length: 3\r\n\r\none";
+
+	scripted_peer peer({ { sized("1", "one"), step::KEEP, "" },
+			     { copy + sized("2", "two"), step::HANG, "" },
+			     { copy, step::KEEP, "" },
+			     { copy, step::KEEP, "" } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get("1").error, FESCUE_OK);
+	struct answer a = c.get("2");
+	EXPECT_TRUE(a.reused);
+	EXPECT_EQ(a.error, FESCUE_EPARTIAL);
+	/* The first answer of a new connection is to its only request. */
+	EXPECT_EQ(c.get("3").status, 503);
+	EXPECT_FALSE(c.get("4").reused);
+}
+
+/* A server that sends without end: each call ends soon, with an error. */
+TEST(http_client, answers_without_end_are_given_up)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\n";
+	const std::string chunked = head + "transfer-encoding: chunked\r\n\r\n";
+	const std::string kilobyte(1024, 'a');
+	const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+	const std::string foreign = sized("0", "zero");
+	const struct {
+		const char *what;
+		std::string first, again;
+	} floods[] = {
+		{ "status line", "HTTP/1.1 200 ", kilobyte },
+		{ "header name", head, kilobyte },
+		{ "header value", head + "x-long: ", kilobyte },
+		{ "headers", head, "x-more: 1\r\n" },
+		{ "interim answers", "", interim },
+		{ "answers to another request", "", foreign },
+		{ "chunks", chunked, "400\r\n" + kilobyte + "\r\n" },
+		{ "chunk extension", chunked + "1;x=", kilobyte },
+		{ "trailers", chunked + "0\r\n", "x-more: 1\r\n" },
+		{ "trailer", chunked + "0\r\nx-long: ", kilobyte },
+		{ "body without a length", head + "\r\n", kilobyte },
+		{ "body with a huge length",
+		  head + "content-length: 99999999999\r\n\r\n", kilobyte },
+	};
+
+	for (const auto &flood : floods) {
+		scripted_peer peer(
+			{ { flood.first, step::FLOOD, flood.again } });
+		client c(peer.address);
+		uint64_t begin = uv_hrtime();
+		struct answer a = c.get("1");
+
+		EXPECT_TRUE(a.error == FESCUE_EPARTIAL ||
+			    a.error == FESCUE_ETOOBIG)
+			<< flood.what << ": " << a.error;
+		EXPECT_LT(uv_hrtime() - begin, 1000000000u) << flood.what;
+	}
+}
+
+/* A hundred such answers at once are held in bounded memory. */
+TEST(http_client, bodies_held_at_once_are_bounded)
+{
+	const int calls = 100;
+	const std::string part(HTTP_MAX_BODY_BYTES / 4, 'a');
+	std::vector<struct answer> answers(calls);
+	struct http_request request = {};
+	size_t held = 0;
+	uv_loop_t *loop = uv_default_loop();
+
+	signal(SIGPIPE, SIG_IGN);
+	endless_server server("HTTP/1.1 200 OK\r\n\r\n" + part);
+	struct http_pool *pool = http_pool_create(loop, server.address, 2);
+	request.method = "GET";
+	request.path = "/";
+	request.timeout_ms = 1500;
+	for (struct answer &a : answers)
+		http_pool_send(pool, &request, client::on_done, &a);
+	for (struct answer &a : answers)
+		while (!a.done) {
+			uv_run(loop, UV_RUN_ONCE);
+			held = std::max(held, http_pool_body_bytes(pool));
+		}
+	EXPECT_LE(held, 4 * HTTP_MAX_BODY_BYTES);
+	EXPECT_GT(held, 2 * HTTP_MAX_BODY_BYTES);
+	for (struct answer &a : answers)
+		EXPECT_NE(a.error, FESCUE_OK);
+	http_pool_release(pool);
+	uv_run(loop, UV_RUN_DEFAULT);
+}
+
 TEST(http_client, connection_with_bytes_left_over_is_not_used_again)
 {
 	scripted_peer peer({ { sized("1", "mine") + "extra", step::KEEP },
