Probe, tell and compare within the failure domain in large fleets

Any host probed any other: four of five probes, their news and the comparisons of tables went to another domain, and at 295 hosts some record always differs.

Weighed: bridges chosen by rank, whose loss must be noticed; and, chosen, any host of a domain at random, CROSS_PROBERS of them a period in the mean, so that no host matters. Within the domain the host that was not probed for longest is next. Tables are compared with another domain's host less often by as much. A newcomer takes the table of its own domain first; of 12 peers told of news at once, four are of other domains. Small fleets go on as before.

--- a/src/member_table.h
+++ b/src/member_table.h
@@ -22,6 +22,7 @@
 	int owes_left;
 	int vouches; /* said itself, since the last reset, that it is confirmed */
 	uint64_t state_since_ms;
+	uint64_t probed_ms; /* when it was last chosen for a probe; 0: never */
 };
 
 struct member_table {
--- a/src/membership.c
+++ b/src/membership.c
@@ -7,6 +7,15 @@
 
 #define LEAVE_FAN_OUT 8
 #define SYNC_RECORDS_MAX 128 /* about 8 KB an answer */
+/*
+ * Hosts of a domain that, in the mean, probe other domains each period: what
+ * crosses between domains does not grow with the hosts in them.
+ */
+#define CROSS_PROBERS 4
+/* Peers of other domains that are told of news at once, of so many peers. */
+#define CROSS_NEWS_DIVISOR 3
+/* A newcomer takes the table of a host of its own domain if it meets one. */
+#define OWN_DOMAIN_FIRST_MS 500
 
 const struct membership_settings membership_defaults = {
 	.probe_period_ms = 1000,
@@ -56,7 +65,7 @@
 	outbox_send(outbox, to, PACKET_MEMBERSHIP, packet);
 }
 
-static void send_sync_request(struct membership *m, uint64_t to,
+static void send_sync_request(struct membership *m, uint64_t to, int own_domain,
 			      struct outbox *outbox)
 {
 	Fescue__Packet *packet =
@@ -67,18 +76,59 @@
 	request->bucket_digests =
 		g_memdup2(m->table.digests, sizeof(m->table.digests));
 	request->whole = !m->synced;
-	m->last_sync_ms = m->table.now_ms;
+	if (own_domain || !m->synced)
+		m->last_sync_ms = m->table.now_ms;
+	if (!own_domain)
+		m->last_cross_sync_ms = m->table.now_ms;
 	outbox_send(outbox, to, PACKET_REPAIR, packet);
 }
 
-static int sync_is_due(const struct membership *m, uint32_t their_digest)
+static int is_own_domain(const struct membership *m,
+			 const struct member *member)
 {
+	return !strcmp(member->host.failure_domain,
+		       member_table_self(&m->table)->host.failure_domain);
+}
+
+/* Hosts that are up in the own domain, the own one included. */
+static size_t count_own_domain(const struct membership *m)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < m->table.members->len; i++) {
+		const struct member *member =
+			g_ptr_array_index(m->table.members, i);
+
+		n += host_is_up(&member->host) && is_own_domain(m, member);
+	}
+	return n;
+}
+
+/* One newcomer takes a whole table; others compare theirs now and then. */
+static int newcomer_sync_is_due(const struct membership *m, int own_domain)
+{
+	uint64_t now_ms = m->table.now_ms;
+
+	return (own_domain || now_ms >= m->created_ms + OWN_DOMAIN_FIRST_MS) &&
+	       now_ms >= m->last_sync_ms + m->settings.probe_timeout_ms;
+}
+
+static int sync_is_due(const struct membership *m, const struct member *peer,
+		       uint32_t their_digest)
+{
+	int own_domain = peer && is_own_domain(m, peer);
+	uint64_t hosts = count_own_domain(m), interval_ms;
+
 	if (!m->synced)
-		return m->table.now_ms >=
-		       m->last_sync_ms + m->settings.probe_timeout_ms;
-	return their_digest != member_table_digest(&m->table) &&
-	       m->table.now_ms >=
-		       m->last_sync_ms + m->settings.sync_interval_ms;
+		return newcomer_sync_is_due(m, own_domain);
+	if (their_digest == member_table_digest(&m->table))
+		return 0;
+	interval_ms = m->settings.sync_interval_ms;
+	if (own_domain)
+		return m->table.now_ms >= m->last_sync_ms + interval_ms;
+	interval_ms = interval_ms * MAX(hosts, CROSS_PROBERS) / CROSS_PROBERS;
+	return !m->last_cross_sync_ms ||
+	       m->table.now_ms >= m->last_cross_sync_ms + interval_ms;
 }
 
 static void receive_gossip(struct membership *m, uint64_t from,
@@ -99,8 +149,9 @@
 	}
 	m->highest_version =
 		MAX(m->highest_version, MAX(gossip->version, gossip->floor));
-	if (sync_is_due(m, gossip->table_digest))
-		send_sync_request(m, from, outbox);
+	if (sync_is_due(m, member, gossip->table_digest))
+		send_sync_request(m, from, member && is_own_domain(m, member),
+				  outbox);
 }
 
 static int member_is_in_buckets(const struct member *member,
@@ -269,22 +320,71 @@
 	return NULL;
 }
 
-/* Next host in a shuffled round, so that each is probed once a round. */
-static struct member *next_probe(struct membership *m)
+/* Which hosts a probe may go to. */
+enum probe_side { SIDE_ANY, SIDE_OWN_DOMAIN, SIDE_OTHER_DOMAINS };
+
+/*
+ * In small fleets any host is probed. In large ones only CROSS_PROBERS hosts of
+ * each domain, in the mean, probe other domains.
+ */
+static enum probe_side choose_side(struct membership *m)
 {
-	for (guint turns = m->table.members->len; turns; turns--) {
-		struct member *member;
+	double own = (double)count_own_domain(m);
+	double others = (double)m->table.up_count - own;
+	double share = CROSS_PROBERS / MAX(own, 1);
 
-		if (++m->probe_position >= m->table.members->len) {
-			m->probe_position = 0;
-			shuffle_members(m);
+	if (others <= share * (own + others - 1))
+		return SIDE_ANY;
+	return g_rand_double(m->random) < share ? SIDE_OTHER_DOMAINS :
+						  SIDE_OWN_DOMAIN;
+}
+
+static int is_on_side(const struct membership *m, const struct member *member,
+		      enum probe_side side)
+{
+	return side == SIDE_ANY ||
+	       is_own_domain(m, member) == (side == SIDE_OWN_DOMAIN);
+}
+
+/* A host that is new to all is not probed by all at once. */
+static void spread_first_probe(struct membership *m, struct member *member)
+{
+	uint64_t round_ms = m->table.up_count * m->settings.probe_period_ms;
+	uint64_t ago_ms =
+		(uint64_t)g_rand_int_range(m->random, 0, (gint)round_ms);
+
+	member->probed_ms =
+		m->table.now_ms > ago_ms ? m->table.now_ms - ago_ms : 1;
+}
+
+/* The host of a side that was not probed for longest, or NULL. */
+static struct member *longest_unprobed(struct membership *m,
+				       enum probe_side side)
+{
+	struct member *best = NULL;
+
+	for (guint i = 1; i < m->table.members->len; i++) {
+		struct member *member = g_ptr_array_index(m->table.members, i);
+
+		if (!host_is_up(&member->host) || !is_on_side(m, member, side))
 			continue;
-		}
-		member = g_ptr_array_index(m->table.members, m->probe_position);
-		if (host_is_up(&member->host))
-			return member;
+		if (!member->probed_ms)
+			spread_first_probe(m, member);
+		if (!best || member->probed_ms < best->probed_ms)
+			best = member;
 	}
-	return NULL;
+	return best;
+}
+
+static struct member *next_probe(struct membership *m)
+{
+	struct member *member = longest_unprobed(m, choose_side(m));
+
+	if (!member)
+		member = longest_unprobed(m, SIDE_ANY);
+	if (member)
+		member->probed_ms = m->table.now_ms;
+	return member;
 }
 
 static void send_indirect_probes(struct membership *m, struct outbox *outbox)
@@ -323,7 +423,7 @@
 	if (++m->periods % m->settings.dead_probe_periods)
 		return;
 	member = random_member(m, 0);
-	if (member)
+	if (member && is_on_side(m, member, choose_side(m)))
 		send_ping(m, member->host.address, ++m->sequence, outbox);
 }
 
@@ -389,6 +489,7 @@
 	m->settings = *settings;
 	m->random = g_rand_new_with_seed(seed);
 	member_table_init(&m->table, self, now_ms);
+	m->created_ms = now_ms;
 	m->last_tick_ms = now_ms;
 	m->last_contact_ms = now_ms;
 	m->sequence = g_rand_int(m->random);
@@ -464,12 +565,18 @@
 void membership_probe_some(struct membership *m, uint32_t count,
 			   struct outbox *outbox)
 {
+	uint32_t cross = count / CROSS_NEWS_DIVISOR;
+
+	if (m->table.up_count <= count + 1)
+		cross = count;
 	shuffle_members(m);
 	for (guint i = 1; i < m->table.members->len && count; i++) {
 		struct member *member = g_ptr_array_index(m->table.members, i);
 
-		if (!host_is_up(&member->host))
+		if (!host_is_up(&member->host) ||
+		    (!is_own_domain(m, member) && !cross))
 			continue;
+		cross -= !is_own_domain(m, member);
 		send_ping(m, member->host.address, ++m->sequence, outbox);
 		count--;
 	}
--- a/src/membership_state.h
+++ b/src/membership_state.h
@@ -26,11 +26,12 @@
 	uint64_t last_tick_ms;
 	uint64_t last_contact_ms;
 	uint64_t highest_version;
+	uint64_t created_ms;
 	uint64_t last_sync_ms;
+	uint64_t last_cross_sync_ms; /* with another domain; 0: never */
 	int synced;
 	uint32_t sequence;
 	uint32_t periods;
-	size_t probe_position;
 	enum probe_phase phase;
 	uint64_t probe_target;
 	uint32_t probe_sequence;
--- a/test/test_membership.cc
+++ b/test/test_membership.cc
@@ -20,6 +20,8 @@
 	uint64_t now = 1000;
 	size_t largest = 0; /* packed size of a packet */
 	uint64_t bytes = 0;
+	uint64_t cross_bytes = 0; /* between domains */
+	std::map<uint64_t, std::string> domains;
 
 	~network()
 	{
@@ -34,6 +36,7 @@
 		self.incarnation = now;
 		self.epoch = now;
 		strcpy(self.failure_domain, domain);
+		domains[address] = domain;
 		nodes[address] = { membership_create(&membership_defaults,
 						     &self, (uint32_t)address,
 						     now),
@@ -52,8 +55,11 @@
 
 			largest = std::max(largest, size);
 			bytes += size;
+			if (domains[from] != domains[out->to])
+				cross_bytes += size;
 			g_queue_init(&answers.queue);
-			if (to != nodes.end() && !to->second.down) {
+			if (to != nodes.end() && !to->second.down &&
+			    !is_cut(from, out->to)) {
 				membership_receive(to->second.membership, from,
 						   out->packet, now, &answers);
 				deliver(out->to, &answers);
@@ -61,6 +67,33 @@
 			outgoing_destroy(out);
 		}
 	}
+	std::string cut; /* a domain that the others do not reach */
+	bool is_cut(uint64_t a, uint64_t b)
+	{
+		return !cut.empty() && domains[a] != domains[b] &&
+		       (domains[a] == cut || domains[b] == cut);
+	}
+	/* Each domain's hosts meet at its first, and the domains at theirs. */
+	void start_domains(uint64_t count, uint64_t hosts)
+	{
+		for (uint64_t d = 0; d < count; d++)
+			for (uint64_t i = 0; i < hosts; i++) {
+				uint64_t address = d * hosts + i + 1;
+
+				add(address, ("d" + std::to_string(d)).c_str());
+				if (address > 1)
+					join(address, i ? d * hosts + 1 : 1);
+			}
+		run(60000);
+	}
+	size_t count_up() const
+	{
+		size_t up = 0;
+
+		for (auto &n : nodes)
+			up += membership_up_count(n.second.membership);
+		return up;
+	}
 	void join(uint64_t address, uint64_t peer)
 	{
 		struct outbox outbox;
@@ -234,6 +267,65 @@
  * At the design size no packet grows with the table once a node has joined,
  * even when much differs, as after the loss of a failure domain.
  */
+/* Bytes a host and second between domains, in a calm fleet. */
+double cross_bytes_per_host(uint64_t domains, uint64_t hosts)
+{
+	network n;
+
+	n.start_domains(domains, hosts);
+	EXPECT_EQ(n.count_up(), domains * hosts * domains * hosts);
+	n.cross_bytes = 0;
+	n.run(10000);
+	return (double)n.cross_bytes / 10 / (double)(domains * hosts);
+}
+
+TEST(membership, bytes_between_domains_do_not_grow_with_the_hosts)
+{
+	double small = cross_bytes_per_host(5, 6);
+	double middle = cross_bytes_per_host(5, 24);
+	double large = cross_bytes_per_host(5, 59);
+
+	printf("bytes a second: %.0f, %.0f, %.0f\n", small, middle, large);
+	EXPECT_LE(middle, small);
+	EXPECT_LE(large, small);
+	EXPECT_LT(MAX(small, large), 300); /* 0.3 KB/s a node */
+}
+
+/* What happens in one domain is known in all of a large fleet. */
+TEST(membership, domains_learn_of_each_other)
+{
+	const uint64_t domains = 5, hosts = 59, all = domains * hosts;
+	network n;
+
+	n.start_domains(domains, hosts);
+	n.nodes[7].down = true;
+	n.run(15000);
+	EXPECT_EQ(n.count_up(), (all - 1) * (all - 1) + all);
+	n.nodes[7].down = false;
+	membership_set_backend(n.nodes[70].membership, "late", 4, 1, 0);
+	n.run(15000);
+	for (auto &node : n.nodes)
+		EXPECT_STREQ(
+			membership_find(node.second.membership, 70)->service,
+			"late");
+	EXPECT_EQ(n.count_up(), all * all);
+}
+
+/* A domain that was cut off for minutes is taken back. */
+TEST(membership, cut_domain_returns)
+{
+	const uint64_t domains = 3, hosts = 20, all = domains * hosts;
+	network n;
+
+	n.start_domains(domains, hosts);
+	n.cut = "d1";
+	n.run(180000);
+	EXPECT_LT(n.count_up(), all * all);
+	n.cut.clear();
+	n.run(30000);
+	EXPECT_EQ(n.count_up(), all * all);
+}
+
 TEST(membership, packets_are_bounded_at_1900_hosts)
 {
 	network n;
