Tell link, gate and run apart; deal requests of a split by their ids

Cause: 'requests took more than half of their aim to reach the first server' could not be placed: only whole calls and runs were measured. explain could not tell which part of a split a request had been dealt to.

Change: the target tells how long it held a call; histograms of the link and of the wait at the gate. A part is drawn by a hash of the request id, alike on all nodes and over versions that leave the parts alone; explain takes an id.

Before: no such figure; the draw was random.

--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -143,6 +143,14 @@
  */
 uint32_t route_rule_part(const struct route_rule *rule, uint32_t drawn);
 
+/*
+ * The number drawn for a request by its id. It stays the same while the route's
+ * parts and weights do, on every node: operators can tell afterwards which part
+ * a request was dealt to.
+ */
+uint32_t route_rule_draw(const struct route_rule *rule, const char *id,
+			 size_t size);
+
 const char *call_class_name(enum call_class call_class);
 
 #endif
--- a/programs/fescuectl.c
+++ b/programs/fescuectl.c
@@ -91,6 +91,8 @@
 		{ "events", 0, 0, G_OPTION_ARG_FILENAME, &ctl.events_path,
 		  "apply: append the accepted version for fescue-check",
 		  "FILE" },
+		{ "id", 0, 0, G_OPTION_ARG_STRING, &ctl.id,
+		  "explain: request id, to tell its part of a split", "ID" },
 		{ "method", 0, 0, G_OPTION_ARG_STRING, &ctl.method,
 		  "explain: method of the call", "METHOD" },
 		{ "host", 0, 0, G_OPTION_ARG_STRING, &ctl.host,
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -1,6 +1,7 @@
 #include "backend_state.h"
 #include "call_answer.h"
 #include "call_log.h"
+#include "events.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -54,6 +55,7 @@
 /* A request between its arrival and the end of the loop's turn. */
 struct arrival {
 	uint64_t from;
+	uint64_t came_us;
 	Fescue__CallRequest *request;
 };
 
@@ -66,7 +68,7 @@
 }
 
 static void take_request(struct backend_server *b, uint64_t from,
-			 Fescue__CallRequest *request)
+			 Fescue__CallRequest *request, uint64_t came_us)
 {
 	enum admission_reason reason;
 	void *answer;
@@ -84,7 +86,7 @@
 			    "\"rank\":%u,\"depth\":%u,\"left_ms\":%u",
 			    request->rank, request->depth,
 			    request->deadline_ms);
-		serving_begin(serving_create(b, from, request));
+		serving_begin(serving_create(b, from, request, came_us));
 		break;
 	case ADMISSION_QUEUED:
 		serving_log(b, from, request, LOG_DECISION, "queued",
@@ -92,10 +94,11 @@
 			    "\"wait_max_ms\":%u",
 			    request->rank, request->depth, request->deadline_ms,
 			    request->queue_ms);
-		serving_create(b, from, request);
+		serving_create(b, from, request, came_us);
 		break;
 	case ADMISSION_REFUSED:
-		backend_refuse(b, from, request, admission_reason_text(reason));
+		backend_refuse(b, from, request, came_us,
+			       admission_reason_text(reason));
 		fescue__call_request__free_unpacked(request, NULL);
 		break;
 	}
@@ -120,7 +123,8 @@
 	uv_check_stop(check);
 	while ((arrival = g_queue_pop_head(&b->arrivals))) {
 		take_request(b, arrival->from,
-			     g_steal_pointer(&arrival->request));
+			     g_steal_pointer(&arrival->request),
+			     arrival->came_us);
 		arrival_free(arrival);
 	}
 }
@@ -135,6 +139,7 @@
 	struct arrival *arrival = g_new0(struct arrival, 1);
 
 	arrival->from = from;
+	arrival->came_us = monotonic_clock_us();
 	arrival->request = request;
 	g_queue_push_tail(&b->arrivals, arrival);
 	uv_check_start(&b->turn_end, on_turn_end);
@@ -279,7 +284,7 @@
 		if (!s || s->state != SERVING_QUEUED)
 			continue;
 		admission_cancel(b->admission, ticket);
-		backend_refuse(b, s->from, s->request, reason);
+		backend_refuse(b, s->from, s->request, s->arrived_us, reason);
 		g_hash_table_remove(b->servings, &ticket);
 	}
 	g_array_free(tickets, TRUE);
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -49,8 +49,14 @@
 	task_send(b->links, to, packet);
 }
 
+static uint32_t held_us(uint64_t arrived_us)
+{
+	return (uint32_t)MIN(monotonic_clock_us() - arrived_us, G_MAXUINT32);
+}
+
 void backend_refuse(struct backend_server *b, uint64_t to,
-		    const Fescue__CallRequest *request, const char *reason)
+		    const Fescue__CallRequest *request, uint64_t arrived_us,
+		    const char *reason)
 {
 	Fescue__Packet *packet = call_answer_create(b->admission, request->kind,
 						    request->call_id,
@@ -59,6 +65,7 @@
 
 	backend_count(b, COUNTER_served_refused);
 	packet->call_answer->retry_after_ms = admission_wait_ms(b->admission);
+	packet->call_answer->held_us = held_us(arrived_us);
 	serving_log(b, to, request, LOG_FAILURE, "refused",
 		    "\"reason\":%s,\"retry_after_ms\":%u,"
 		    "\"service_us\":%u,\"left_ms\":%u",
@@ -70,14 +77,18 @@
 
 static void start_next(struct backend_server *b);
 
+static enum call_class serving_class(const struct serving *s)
+{
+	return s->request->call_class ? CALL_CLASS_BACKGROUND :
+					CALL_CLASS_URGENT;
+}
+
 /* The call is over: free its slot if it holds one, then start the next. */
 void serving_end(struct serving *s)
 {
 	struct backend_server *b = s->backend;
 	uint64_t spent_us = monotonic_clock_us() - s->started_us;
-	enum call_class call_class = s->request->call_class ?
-					     CALL_CLASS_BACKGROUND :
-					     CALL_CLASS_URGENT;
+	enum call_class call_class = serving_class(s);
 
 	switch (s->state) {
 	case SERVING_QUEUED:
@@ -98,6 +109,7 @@
 /* Give the run's answer to its caller and free the slot. */
 static void finish_run(struct serving *s)
 {
+	s->answer->call_answer->held_us = held_us(s->arrived_us);
 	send_answer(s->backend, s->from, g_steal_pointer(&s->answer));
 	serving_end(s);
 }
@@ -282,8 +294,10 @@
 
 	s->state = SERVING_RUNNING;
 	s->started_us = monotonic_clock_us();
+	histogram_record(&b->links->counters->gate_us[serving_class(s)],
+			 s->started_us - s->arrived_us);
 	if (backend_now_ms(b) >= s->deadline_ms || !b->pool) {
-		backend_refuse(b, s->from, s->request,
+		backend_refuse(b, s->from, s->request, s->arrived_us,
 			       b->pool ? "no slot became free in time" :
 					 "the backend server is gone");
 		serving_end(s);
@@ -310,14 +324,15 @@
 			continue;
 		}
 		backend_count(b, COUNTER_served_expired);
-		backend_refuse(b, s->from, s->request,
+		backend_refuse(b, s->from, s->request, s->arrived_us,
 			       "no slot became free in time");
 		g_hash_table_remove(b->servings, &ticket);
 	}
 }
 
 struct serving *serving_create(struct backend_server *b, uint64_t from,
-			       Fescue__CallRequest *request)
+			       Fescue__CallRequest *request,
+			       uint64_t arrived_us)
 {
 	struct serving *s = g_new0(struct serving, 1);
 
@@ -325,6 +340,7 @@
 	s->ticket = ++b->next_ticket;
 	s->from = from;
 	s->request = request;
+	s->arrived_us = arrived_us;
 	s->deadline_ms = backend_now_ms(b) + request->deadline_ms;
 	s->fingerprint = quarantine_fingerprint(request->service,
 						request->method, request->path,
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -22,6 +22,7 @@
 	Fescue__CallRequest *request;
 	enum serving_state state;
 	uint64_t deadline_ms;
+	uint64_t arrived_us;
 	uint64_t started_us;
 	uint64_t orphan_since_ms; /* 0: the link with its node stands */
 	struct http_call *http;
@@ -61,12 +62,15 @@
 const char *backend_request_id(const struct backend_server *backend,
 			       const Fescue__CallRequest *request);
 
+/* arrived_us: when the request came, by monotonic_clock_us(). */
 void backend_refuse(struct backend_server *backend, uint64_t to,
-		    const Fescue__CallRequest *request, const char *reason);
+		    const Fescue__CallRequest *request, uint64_t arrived_us,
+		    const char *reason);
 
 /* A call from a node, not yet admitted; takes ownership of the request. */
 struct serving *serving_create(struct backend_server *backend, uint64_t from,
-			       Fescue__CallRequest *request);
+			       Fescue__CallRequest *request,
+			       uint64_t arrived_us);
 
 /* A call that holds a slot begins, unless its time ran out meanwhile. */
 void serving_begin(struct serving *serving);
--- a/src/caller.c
+++ b/src/caller.c
@@ -348,6 +348,19 @@
 		       sizeof(load->waits_ms));
 }
 
+/* What the attempt took beside its time at the host. */
+static void note_link_time(const struct call *c,
+			   const Fescue__CallAnswer *answer)
+{
+	uint64_t took_us = monotonic_clock_us() - c->attempt_us;
+
+	/* An answer that was asked for says nothing of the link. */
+	if (c->state == ATTEMPT_SENT && took_us > answer->held_us)
+		histogram_record(&c->callers->links->counters
+					  ->link_us[c->contract.call_class],
+				 took_us - answer->held_us);
+}
+
 void caller_table_answer(struct caller_table *t, uint64_t from,
 			 const Fescue__CallAnswer *answer)
 {
@@ -360,6 +373,7 @@
 	if (!c || call_last_tried(c) != from)
 		return;
 	read_load(c, answer, &load);
+	note_link_time(c, answer);
 	switch (answer->outcome) {
 	case FESCUE__OUTCOME__RAN:
 		call_end_attempt(c,
@@ -388,14 +402,23 @@
  * The part of the route that serves the call, drawn by weight. A part without
  * room is not relieved by the others: the operators set the shares.
  */
-static uint32_t draw_part(struct caller_table *t, const struct route_rule *rule)
+static uint32_t draw_part(struct caller_table *t, const struct route_rule *rule,
+			  const struct http_exchange *exchange)
 {
-	gint32 weight = (gint32)route_rule_weight(rule);
+	const char *name = t->links->headers->request_id;
+	struct http_text id = { NULL, 0 };
+	uint32_t drawn;
 
 	if (rule->part_count == 1)
 		return 0;
-	return route_rule_part(rule, (uint32_t)g_rand_int_range(t->random, 0,
-								weight));
+	if (name)
+		id = http_exchange_header(exchange, name);
+	if (id.size)
+		drawn = route_rule_draw(rule, id.bytes, id.size);
+	else
+		drawn = (uint32_t)g_rand_int_range(
+			t->random, 0, (gint32)route_rule_weight(rule));
+	return route_rule_part(rule, drawn);
 }
 
 static struct call *call_create(struct caller_table *t,
@@ -411,7 +434,7 @@
 	c->exchange = exchange;
 	c->snapshot = snapshot_ref(snapshot);
 	c->route = route;
-	c->part = draw_part(t, rule);
+	c->part = draw_part(t, rule, exchange);
 	c->budget = retry_budgets_of(t->budgets, rule->parts[c->part].service);
 	c->depth = depth;
 	c->contract = rule->contract;
--- a/src/counters.c
+++ b/src/counters.c
@@ -42,6 +42,10 @@
 	for (int i = 0; i < CALL_CLASS_COUNT; i++) {
 		format_histogram(&counters->latency_us[i], "latency_us",
 				 (enum call_class)i, out);
+		format_histogram(&counters->link_us[i], "link_us",
+				 (enum call_class)i, out);
+		format_histogram(&counters->gate_us[i], "gate_us",
+				 (enum call_class)i, out);
 		format_histogram(&counters->service_us[i], "service_us",
 				 (enum call_class)i, out);
 	}
@@ -80,6 +84,15 @@
 			       (double)h->sum / 1e6, name, label, h->count);
 }
 
+static void expose_durations(GString *out, const char *name,
+			     const struct histogram h[CALL_CLASS_COUNT])
+{
+	g_string_append_printf(out, "# TYPE fescue_%s histogram\n", name);
+	for (int i = 0; i < CALL_CLASS_COUNT; i++)
+		expose_histogram(out, name, &h[i],
+				 call_class_name((enum call_class)i));
+}
+
 static void expose_bytes(const struct counters *counters, GString *out)
 {
 	char label[64];
@@ -106,14 +119,8 @@
 		expose_counter(out, counter_names[i], "", counters->values[i]);
 	}
 	expose_bytes(counters, out);
-	g_string_append(out, "# TYPE fescue_call_duration_seconds histogram\n");
-	for (int i = 0; i < CALL_CLASS_COUNT; i++)
-		expose_histogram(out, "call_duration_seconds",
-				 &counters->latency_us[i],
-				 call_class_name((enum call_class)i));
-	g_string_append(out, "# TYPE fescue_run_duration_seconds histogram\n");
-	for (int i = 0; i < CALL_CLASS_COUNT; i++)
-		expose_histogram(out, "run_duration_seconds",
-				 &counters->service_us[i],
-				 call_class_name((enum call_class)i));
+	expose_durations(out, "call_duration_seconds", counters->latency_us);
+	expose_durations(out, "link_duration_seconds", counters->link_us);
+	expose_durations(out, "gate_duration_seconds", counters->gate_us);
+	expose_durations(out, "run_duration_seconds", counters->service_us);
 }
--- a/src/counters.h
+++ b/src/counters.h
@@ -55,6 +55,8 @@
 	uint64_t bytes_received[PACKET_PURPOSE_COUNT];
 	uint64_t store_bytes; /* sent and received */
 	struct histogram latency_us[CALL_CLASS_COUNT]; /* of whole calls */
+	struct histogram link_us[CALL_CLASS_COUNT]; /* to a host and back */
+	struct histogram gate_us[CALL_CLASS_COUNT]; /* before a slot was free */
 	struct histogram service_us[CALL_CLASS_COUNT]; /* in the own slot */
 };
 
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -17,6 +17,7 @@
 	int64_t base; /* version the file was made from; -1: not given */
 	char *events_path;
 	char *method;
+	char *id; /* of a request, for explain; NULL: none */
 	char *host;
 	char *add;
 	char *with;
--- a/src/ctl_node.c
+++ b/src/ctl_node.c
@@ -206,6 +206,7 @@
 static void print_explanation(const json_t *answer)
 {
 	const json_t *parts = json_object_get(answer, "parts");
+	const json_t *dealt = json_object_get(answer, "dealt");
 
 	printf("version %" PRId64 ": class %s, rank %" PRId64
 	       ", idempotent %s, deadline %" PRId64 " ms, latency %" PRId64
@@ -218,18 +219,27 @@
 	       number_of(answer, "latency_ms"), number_of(answer, "retries"));
 	for (size_t i = 0; i < json_array_size(parts); i++)
 		print_part(json_array_get(parts, i));
+	if (json_is_object(dealt))
+		printf("request %s goes to %s: %" PRId64 " of %" PRId64
+		       ", %s\n",
+		       text_of(dealt, "id"), text_of(dealt, "service"),
+		       number_of(dealt, "drawn"), number_of(dealt, "of"),
+		       text_of(dealt, "why"));
 }
 
 int ctl_explain(struct ctl *ctl, const char *path)
 {
 	char *escaped = g_uri_escape_string(path, "/", FALSE);
-	char *url = g_strdup_printf("/explain?method=%s&host=%s&path=%s",
+	char *id = ctl->id ? g_uri_escape_string(ctl->id, NULL, FALSE) : NULL;
+	char *url = g_strdup_printf("/explain?method=%s&host=%s&path=%s%s%s",
 				    ctl->method ? ctl->method : "GET",
-				    ctl->host ? ctl->host : "", escaped);
+				    ctl->host ? ctl->host : "", escaped,
+				    id ? "&id=" : "", id ? id : "");
 	struct question question = ask(ctl->loop, ctl->node, url);
 	int code = EXIT_GOOD;
 
 	g_free(escaped);
+	g_free(id);
 	g_free(url);
 	if (!question.answer)
 		return report_silent(ctl->node);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,10 +1,9 @@
-#include "http_client.h"
+#include "http_client_state.h"
 
 #include "fescue/error.h"
 #include "socket_options.h"
 
 #include <glib.h>
-#include <http_parser.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -12,66 +11,6 @@
 #define CONNECT_TIMEOUT_MS 1000 /* far above any round trip between hosts */
 #define IDLE_DEFAULT_MS 30000 /* for peers that state no Keep-Alive time */
 #define IDLE_MARGIN_MS 1000 /* the peer's clock starts before ours */
-#define HEADERS_MAX 100
-/* What a server in trouble may send before the answer to a request. */
-#define INTERIM_ANSWERS_MAX 16
-#define FOREIGN_ANSWERS_MAX 4
-/* Bodies of one server that are held at once, while they come in. */
-#define BODIES_MAX_BYTES (4 * HTTP_MAX_BODY_BYTES)
-
-struct http_pool {
-	uv_loop_t *loop;
-	struct sockaddr_in address;
-	char authority[ADDRESS_TEXT_BYTES];
-	size_t idle_max;
-	GQueue idle; /* struct http_conn, the latest used at the head */
-	size_t conns; /* not yet freed */
-	size_t calls; /* not yet freed */
-	size_t body_bytes; /* of answers that are held */
-	uint64_t opened;
-	int released;
-};
-
-/* One connection; it belongs to a call, to the idle list or is closing. */
-struct http_conn {
-	struct http_pool *pool;
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_write_t write;
-	http_parser parser;
-	struct http_call *call; /* NULL while idle or closing */
-	uint64_t idle_since_ms;
-	uint32_t idle_limit_ms;
-	int writing;
-	int used; /* carried a request before the present one */
-	int tainted; /* answers on it do not show what request they are to */
-	uint32_t foreign; /* answers to other requests since the last one */
-	uint32_t interim; /* answers of status 1xx since the last request */
-	int closing;
-};
-
-struct http_call {
-	struct http_pool *pool;
-	struct http_conn *conn;
-	uv_timer_t timer;
-	GString *request; /* kept until the write has ended */
-	char *echo_name;
-	char *echo;
-	uint32_t timeout_ms;
-	int method_is_head;
-	int sent;
-	int reused;
-	int answered;
-	int complete;
-	GArray *headers; /* struct http_header */
-	GString *name, *value; /* of the header being read */
-	int reading_value;
-	GString *body;
-	int too_big;
-	void (*done)(void *data, const struct http_result *result);
-	void *data;
-	int error;
-};
 
 static char read_buffer[READ_BUFFER_BYTES];
 
@@ -202,150 +141,10 @@
 	call_release(call);
 }
 
-static void call_reset_answer(struct http_call *call)
-{
-	g_array_set_size(call->headers, 0);
-	g_string_truncate(call->name, 0);
-	g_string_truncate(call->value, 0);
-	call->pool->body_bytes -= call->body->len;
-	g_string_truncate(call->body, 0);
-	call->reading_value = 0;
-}
-
-static void flush_header(struct http_call *call)
-{
-	struct http_header header;
-
-	if (!call->reading_value)
-		return;
-	header.name = g_ascii_strdown(call->name->str, -1);
-	header.value = g_strdup(call->value->str);
-	g_array_append_val(call->headers, header);
-	g_string_truncate(call->name, 0);
-	g_string_truncate(call->value, 0);
-	call->reading_value = 0;
-}
-
-static struct http_call *call_of(http_parser *parser)
-{
-	struct http_conn *conn = parser->data;
-
-	return conn->call;
-}
-
-static int on_header_field(http_parser *parser, const char *at, size_t length)
-{
-	struct http_call *call = call_of(parser);
-
-	flush_header(call);
-	g_string_append_len(call->name, at, (gssize)length);
-	return call->headers->len >= HEADERS_MAX;
-}
-
-static int on_header_value(http_parser *parser, const char *at, size_t length)
-{
-	struct http_call *call = call_of(parser);
-
-	call->reading_value = 1;
-	g_string_append_len(call->value, at, (gssize)length);
-	return 0;
-}
-
-static int on_headers_complete(http_parser *parser)
-{
-	struct http_call *call = call_of(parser);
-
-	flush_header(call);
-	return call->method_is_head; /* 1: no body follows */
-}
-
-static int on_body(http_parser *parser, const char *at, size_t length)
-{
-	struct http_call *call = call_of(parser);
-
-	if (call->body->len + length > HTTP_MAX_BODY_BYTES ||
-	    call->pool->body_bytes + length > BODIES_MAX_BYTES) {
-		call->too_big = 1;
-		return 1;
-	}
-	g_string_append_len(call->body, at, (gssize)length);
-	call->pool->body_bytes += length;
-	return 0;
-}
-
-static const char *find_header(const struct http_header *headers, size_t count,
-			       const char *name)
-{
-	for (size_t i = 0; i < count; i++)
-		if (!strcmp(headers[i].name, name))
-			return headers[i].value;
-	return NULL;
-}
-
-enum answer_owner {
-	ANSWER_OURS,
-	ANSWER_FOREIGN, /* it names another request: it came late, or twice */
-	ANSWER_UNNAMED,
-};
-
-static enum answer_owner answer_owner(const struct http_call *call)
-{
-	const char *value;
-
-	if (!call->echo)
-		return ANSWER_OURS;
-	value = find_header(
-		(const struct http_header *)(void *)call->headers->data,
-		call->headers->len, call->echo_name);
-	if (!value)
-		return ANSWER_UNNAMED;
-	return strcmp(value, call->echo) ? ANSWER_FOREIGN : ANSWER_OURS;
-}
-
-/* Returns 0 to go on reading, or 1 when the server sends too many of these. */
-static int skip_answer(struct http_call *call, uint32_t *count, uint32_t max)
-{
-	call_reset_answer(call);
-	return ++*count > max;
-}
-
-static int on_message_complete(http_parser *parser)
-{
-	struct http_conn *conn = parser->data;
-	struct http_call *call = conn->call;
-
-	if (parser->status_code / 100 == 1)
-		return skip_answer(call, &conn->interim, INTERIM_ANSWERS_MAX);
-	switch (answer_owner(call)) {
-	case ANSWER_OURS:
-		break;
-	case ANSWER_FOREIGN:
-		conn->tainted = 1;
-		return skip_answer(call, &conn->foreign, FOREIGN_ANSWERS_MAX);
-	case ANSWER_UNNAMED:
-		/* It may be a late copy of an answer to an earlier request. */
-		if (conn->used)
-			return 1;
-		conn->tainted = 1;
-		break;
-	}
-	call->complete = 1;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
-
 /* Milliseconds the peer keeps an idle connection, less a margin. */
 static uint32_t idle_limit(const struct http_call *call)
 {
-	const char *value = find_header(
+	const char *value = http_find_header(
 		(const struct http_header *)(void *)call->headers->data,
 		call->headers->len, "keep-alive");
 	const char *timeout = value ? strstr(value, "timeout=") : NULL;
@@ -427,7 +226,7 @@
 
 	if (size)
 		call->answered = 1;
-	used = http_parser_execute(&conn->parser, &parser_settings, bytes,
+	used = http_parser_execute(&conn->parser, &http_answer_parser, bytes,
 				   size);
 	if (call->complete)
 		take_answer(conn, used < size);
@@ -622,5 +421,5 @@
 const char *http_result_header(const struct http_result *result,
 			       const char *name)
 {
-	return find_header(result->headers, result->header_count, name);
+	return http_find_header(result->headers, result->header_count, name);
 }
--- a/src/operator.c
+++ b/src/operator.c
@@ -168,9 +168,26 @@
 			 (int)rule->parts[part].weight, "hosts", hosts);
 }
 
+/* Which part a request id is dealt to, and why; null without an id. */
+static json_t *explain_deal(const struct route_rule *rule, const char *id)
+{
+	uint32_t drawn, part;
+
+	if (!id)
+		return json_null();
+	drawn = route_rule_draw(rule, id, strlen(id));
+	part = route_rule_part(rule, drawn);
+	return json_pack("{s:s, s:s, s:I, s:I, s:s}", "id", id, "service",
+			 rule->parts[part].service, "drawn", (json_int_t)drawn,
+			 "of", (json_int_t)route_rule_weight(rule), "why",
+			 "a hash of the id, below the sum of the weights; the "
+			 "parts take it in their order");
+}
+
 static json_t *explain_route(const struct operator_view *view,
 			     const struct route_rule *rule,
-			     enum route_lookup found, struct route_handle route)
+			     enum route_lookup found, struct route_handle route,
+			     const char *id)
 {
 	const struct contract *contract = &rule->contract;
 	json_t *parts = json_array();
@@ -180,7 +197,7 @@
 							  route, i));
 	return json_pack(
 		"{s:s, s:I, s:i, s:s, s:s, s:s, s:s, s:i, s:b, s:i, "
-		"s:i, s:i, s:o}",
+		"s:i, s:i, s:o, s:o}",
 		"result", found == ROUTE_FOUND ? "routed" : "withdrawn",
 		"version", (json_int_t)snapshot_version(in_force(view)), "line",
 		(int)rule->line, "method", rule->method, "host", rule->host,
@@ -189,7 +206,7 @@
 		(int)contract->rank, "idempotent", contract->idempotent,
 		"deadline_ms", (int)contract->deadline_ms, "latency_ms",
 		(int)contract->latency_ms, "retries", (int)contract->retries,
-		"parts", parts);
+		"parts", parts, "dealt", explain_deal(rule, id));
 }
 
 static void reply_explain(const struct operator_view *view,
@@ -198,6 +215,7 @@
 	char *method = http_exchange_query(exchange, "method");
 	char *host = http_exchange_query(exchange, "host");
 	char *path = http_exchange_query(exchange, "path");
+	char *id = http_exchange_query(exchange, "id");
 	const struct route_rule *rule;
 	struct route_handle route;
 	enum route_lookup found;
@@ -213,7 +231,7 @@
 					    strlen(h), p, strlen(p), &route,
 					    &rule);
 		reply_json(exchange, 200,
-			   rule ? explain_route(view, rule, found, route) :
+			   rule ? explain_route(view, rule, found, route, id) :
 				  json_pack("{s:s, s:s}", "result", "no route",
 					    "remedy",
 					    "add a route line for the path"));
@@ -221,6 +239,7 @@
 	g_free(method);
 	g_free(host);
 	g_free(path);
+	g_free(id);
 }
 
 static void reply_config(const struct operator_view *view,
--- a/src/router.c
+++ b/src/router.c
@@ -1,20 +1,12 @@
-#include "fescue/router.h"
+#include "router_state.h"
 
 #include "fescue/error.h"
 
-#include <assert.h>
-#include <glib.h>
 #include <math.h>
 #include <string.h>
 
-#define LATENCY_WEIGHT 0.2
-#define LATENCY_INITIAL_US 1000.0
-#define SLOW_START_FLOOR 0.1
 #define CLEARLY_CHEAPER 0.8
 #define EJECTED_SHARE_MAX 2 /* at most one in this many */
-#define EJECTION_DOUBLINGS_MAX 5
-#define FAILURE_WEIGHT 0.15 /* of the latest result in the share that fails */
-#define PACE_WEIGHT 0.2
 #define SERVICE_INITIAL_MS 10.0 /* before any call has ended */
 /*
  * What is known of a host is old when many entry nodes send to it: each looks
@@ -47,31 +39,6 @@
 	.cross_domain_ms_per_kb = 20,
 };
 
-/* What own calls have shown of one host. */
-struct host_evidence {
-	uint64_t address;
-	uint32_t outstanding;
-	struct router_load load;
-	uint64_t load_at_ms;
-	double latency_us;
-	double pace; /* moving average of what its answers told; 0: nothing */
-	uint32_t sent_since; /* calls sent since the load was reported */
-	double failing; /* share of its calls that fail */
-	uint64_t failing_at_ms;
-	uint32_t failures;
-	uint32_t ejections;
-	uint64_t ejected_until_ms;
-	uint64_t first_seen_ms;
-	uint64_t last_used_ms;
-};
-
-struct router {
-	struct router_settings settings;
-	GRand *random;
-	GHashTable *evidence; /* address -> struct host_evidence */
-	int warm; /* the first hosts seen at start-up do not start slowly */
-};
-
 struct candidate {
 	const struct snapshot_host *host;
 	struct host_evidence *evidence;
@@ -98,80 +65,25 @@
 	g_free(r);
 }
 
-static struct host_evidence *find_evidence(const struct router *r,
-					   uint64_t address)
-{
-	return g_hash_table_lookup(r->evidence, &address);
-}
-
-static struct host_evidence *get_evidence(struct router *r, uint64_t address,
-					  uint64_t now_ms)
-{
-	struct host_evidence *e = find_evidence(r, address);
-
-	if (e)
-		return e;
-	e = g_new0(struct host_evidence, 1);
-	e->address = address;
-	e->latency_us = LATENCY_INITIAL_US;
-	e->last_used_ms = now_ms;
-	e->first_seen_ms = r->warm ? now_ms : 0;
-	g_hash_table_insert(r->evidence, &e->address, e);
-	return e;
-}
-
-/* Reported load, halved for each half-life since it was reported. */
-static double aged_load(const struct router *r, const struct host_evidence *e,
-			uint64_t now_ms)
-{
-	double age = (double)(now_ms - e->load_at_ms);
-	double factor = exp2(-age / r->settings.load_half_life_ms);
-
-	return (e->load.in_use + e->load.queued) * factor;
-}
-
-static double slow_start_share(const struct router *r,
-			       const struct host_evidence *e, uint64_t now_ms)
-{
-	uint64_t age = now_ms - e->first_seen_ms;
-	double share;
-
-	if (!e->first_seen_ms || age >= r->settings.slow_start_ms)
-		return 1.0;
-	share = (double)age / r->settings.slow_start_ms;
-	return MAX(share, SLOW_START_FLOOR);
-}
-
-/* Latency seen, forgotten while the host is not used, so that it is tried. */
-static double aged_latency(const struct router *r,
-			   const struct host_evidence *e, uint64_t now_ms)
-{
-	double age = (double)(now_ms - e->last_used_ms);
-	double factor = exp2(-age / r->settings.latency_half_life_ms);
-
-	return LATENCY_INITIAL_US +
-	       (e->latency_us - LATENCY_INITIAL_US) * factor;
-}
-
 static double candidate_cost(const struct router *r, const struct candidate *c,
 			     uint64_t now_ms)
 {
 	double slots = MAX(c->host->slots, 1);
 	double load = MAX((double)c->evidence->outstanding,
-			  aged_load(r, c->evidence, now_ms));
+			  evidence_load(r, c->evidence, now_ms));
 
-	return (load + 1) * aged_latency(r, c->evidence, now_ms) /
-	       (slots * slow_start_share(r, c->evidence, now_ms));
+	return (load + 1) * evidence_latency(r, c->evidence, now_ms) /
+	       (slots * evidence_slow_start(r, c->evidence, now_ms));
 }
 
 static int has_room(const struct router *r, const struct candidate *c,
 		    uint64_t now_ms)
 {
-	double share = slow_start_share(r, c->evidence, now_ms);
+	double share = evidence_slow_start(r, c->evidence, now_ms);
 	double room = c->host->slots * share;
 
 	return c->evidence->outstanding < room &&
-	       aged_load(r, c->evidence, now_ms) < room;
+	       evidence_load(r, c->evidence, now_ms) < room;
 }
 
 static int is_excluded(uint64_t address, const uint64_t *excluded, size_t n)
@@ -213,7 +125,7 @@
 			continue;
 		if (honour && router_is_ejected(r, c.host->host, q->now_ms))
 			continue;
-		c.evidence = get_evidence(r, c.host->host, q->now_ms);
+		c.evidence = router_get_evidence(r, c.host->host, q->now_ms);
 		g_array_append_val(candidates, c);
 	}
 	r->warm = 1;
@@ -272,25 +184,6 @@
 		       a;
 }
 
-/* The share of failures, forgotten with time so that a host is tried again. */
-static double aged_failing(const struct router *r,
-			   const struct host_evidence *e, uint64_t now_ms)
-{
-	double age = (double)(now_ms - e->failing_at_ms);
-
-	return e->failing * exp2(-age / r->settings.failure_half_life_ms);
-}
-
-/* How slow the host is, forgotten while it is not used. */
-static double aged_pace(const struct router *r, const struct host_evidence *e,
-			uint64_t now_ms)
-{
-	double age = (double)(now_ms - e->load_at_ms);
-	double factor = exp2(-age / r->settings.latency_half_life_ms);
-
-	return e->pace ? 1 + (e->pace - 1) * factor : 1;
-}
-
 /*
  * Time until a call gets a slot: as its rank was told to wait, and for what
  * was sent since; by the calls there alone if the host did not tell.
@@ -326,12 +219,12 @@
 	const struct host_evidence *e = c->evidence;
 	double mean_ms = q->service_ms ? q->service_ms : SERVICE_INITIAL_MS;
 	double slots =
-		MAX(c->host->slots, 1) * slow_start_share(r, e, q->now_ms);
+		MAX(c->host->slots, 1) * evidence_slow_start(r, e, q->now_ms);
 	double load = MAX((double)e->outstanding,
-			  aged_load(r, e, q->now_ms) + e->sent_since);
+			  evidence_load(r, e, q->now_ms) + e->sent_since);
 	double crowding = MIN(load / slots, 1.0), ms;
 
-	ms = mean_ms * aged_pace(r, e, q->now_ms);
+	ms = mean_ms * evidence_pace(r, e, q->now_ms);
 	*service = ms * (1 + CROWDING_WEIGHT * crowding * crowding);
 	return expected_wait(r, e, q, ms, ms * (load + 1 - slots) / slots);
 }
@@ -343,7 +236,7 @@
 	double service, cost = expected_times(r, c, q, &service);
 
 	cost += service;
-	cost += aged_failing(r, c->evidence, q->now_ms) *
+	cost += evidence_failing(r, c->evidence, q->now_ms) *
 		r->settings.failure_cost_ms;
 	if (!is_own_domain(c, q))
 		cost += r->settings.cross_domain_ms +
@@ -451,7 +344,7 @@
 			continue;
 		reason->cost_ms = expected_cost(r, c, q);
 		reason->wait_ms = expected_times(r, c, q, &service);
-		reason->failing = aged_failing(r, c->evidence, q->now_ms);
+		reason->failing = evidence_failing(r, c->evidence, q->now_ms);
 		if (c->evidence->load_at_ms)
 			reason->age_ms = q->now_ms - c->evidence->load_at_ms;
 	}
@@ -504,9 +397,10 @@
 /* By its latest answer and what was sent since, a slot is free there. */
 static int seems_free(const struct router *r, uint64_t host, uint64_t now_ms)
 {
-	const struct host_evidence *e = find_evidence(r, host);
+	const struct host_evidence *e = router_find_evidence(r, host);
 
-	return !e || aged_load(r, e, now_ms) + e->sent_since < e->load.slots;
+	return !e ||
+	       evidence_load(r, e, now_ms) + e->sent_since < e->load.slots;
 }
 
 uint32_t router_wait_max(struct router *r, const struct router_question *q,
@@ -520,124 +414,3 @@
 		return limit_ms;
 	return (uint32_t)in_time;
 }
-
-void router_started(struct router *r, uint64_t host, uint64_t now_ms)
-{
-	struct host_evidence *e = get_evidence(r, host, now_ms);
-
-	e->outstanding++;
-	e->sent_since++;
-	e->latency_us = aged_latency(r, e, now_ms);
-	e->last_used_ms = now_ms;
-}
-
-static void eject(struct router *r, struct host_evidence *e, uint64_t now_ms)
-{
-	uint64_t ms;
-
-	ms = (uint64_t)r->settings.ejection_ms
-	     << MIN(e->ejections, EJECTION_DOUBLINGS_MAX);
-	e->ejected_until_ms = now_ms + MIN(ms, r->settings.ejection_max_ms);
-	e->ejections++;
-	e->failures = 0;
-}
-
-static void note_result(struct router *r, struct host_evidence *e, int failed,
-			uint64_t now_ms)
-{
-	e->failing = aged_failing(r, e, now_ms) * (1 - FAILURE_WEIGHT) +
-		     FAILURE_WEIGHT * failed;
-	e->failing_at_ms = now_ms;
-}
-
-static void record_failure(struct router *r, struct host_evidence *e,
-			   uint64_t now_ms)
-{
-	note_result(r, e, 1, now_ms);
-	if (r->settings.policy == ROUTER_COST)
-		return;
-	if (++e->failures >= r->settings.failures_to_eject)
-		eject(r, e, now_ms);
-}
-
-/* A backend server that sheds while it has free slots is not well. */
-static int refused_with_room(const struct router_load *load)
-{
-	return load && load->in_use + load->queued < load->slots;
-}
-
-static void note_pace(struct host_evidence *e, double pace)
-{
-	if (!pace)
-		return;
-	e->pace = e->pace ? e->pace + PACE_WEIGHT * (pace - e->pace) : pace;
-}
-
-void router_finished(struct router *r, uint64_t host, enum router_result result,
-		     uint64_t latency_us, const struct router_load *load,
-		     uint64_t now_ms)
-{
-	struct host_evidence *e = get_evidence(r, host, now_ms);
-
-	assert(e->outstanding > 0);
-	e->outstanding--;
-	e->last_used_ms = now_ms;
-	if (load) {
-		if (e->pace)
-			e->pace = aged_pace(r, e, now_ms);
-		e->load = *load;
-		e->load_at_ms = now_ms;
-		e->sent_since = 0;
-		note_pace(e, load->pace);
-	}
-	switch (result) {
-	case ROUTER_ANSWERED:
-		note_result(r, e, 0, now_ms);
-		e->failures = 0;
-		e->ejections = 0;
-		e->latency_us +=
-			LATENCY_WEIGHT * ((double)latency_us - e->latency_us);
-		break;
-	case ROUTER_FAILED:
-		record_failure(r, e, now_ms);
-		break;
-	case ROUTER_UNREACHABLE:
-		if (!router_is_ejected(r, host, now_ms))
-			eject(r, e, now_ms);
-		break;
-	case ROUTER_REFUSED:
-		if (refused_with_room(load))
-			record_failure(r, e, now_ms);
-		break;
-	case ROUTER_CANCELED:
-		break;
-	}
-}
-
-uint32_t router_outstanding(const struct router *r, uint64_t host)
-{
-	const struct host_evidence *e = find_evidence(r, host);
-
-	return e ? e->outstanding : 0;
-}
-
-int router_is_ejected(const struct router *r, uint64_t host, uint64_t now_ms)
-{
-	const struct host_evidence *e = find_evidence(r, host);
-
-	return e && now_ms < e->ejected_until_ms;
-}
-
-void router_expire(struct router *r, uint64_t now_ms, uint64_t idle_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, r->evidence);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct host_evidence *e = value;
-
-		if (!e->outstanding && now_ms > e->last_used_ms + idle_ms)
-			g_hash_table_iter_remove(&iter);
-	}
-}
--- a/src/rules.c
+++ b/src/rules.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define DRAW_SEED 3 /* the same on every node */
+
 uint32_t route_rule_weight(const struct route_rule *rule)
 {
 	uint32_t total = 0;
@@ -16,6 +18,12 @@
 	return total;
 }
 
+uint32_t route_rule_draw(const struct route_rule *rule, const char *id,
+			 size_t size)
+{
+	return (uint32_t)(XXH64(id, size, DRAW_SEED) % route_rule_weight(rule));
+}
+
 uint32_t route_rule_part(const struct route_rule *rule, uint32_t drawn)
 {
 	for (uint32_t i = 0; i < rule->part_count; i++) {
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -141,6 +141,24 @@
 	EXPECT_EQ(f.sent.back()->body_case, FESCUE__PACKET__BODY_CALL_RUNNING);
 }
 
+/* What a call took is split into the link, the gate and the run. */
+TEST(backend_server, time_at_the_gate_is_told_apart)
+{
+	fixture f(nobody);
+	const struct histogram &gate = f.counters.gate_us[CALL_CLASS_URGENT];
+
+	f.call(1);
+	f.call(2);
+	usleep(20000); /* the loop is busy with something else */
+	f.turn();
+	f.turn();
+	ASSERT_EQ(f.outcomes().size(), 2u);
+	EXPECT_EQ(gate.count, 2u);
+	EXPECT_GE(gate.sum, 2 * 20000u);
+	for (auto *p : f.sent)
+		EXPECT_GE(p->call_answer->held_us, 20000u);
+}
+
 /* Each run needs a connection: more than the rules allow wait for a slot. */
 TEST(backend_server, runs_keep_the_limit_of_connections)
 {
--- a/test/test_rules.cc
+++ b/test/test_rules.cc
@@ -1,5 +1,7 @@
 #include "support.h"
 
+#include <cmath>
+
 extern "C" {
 #include "fescue/error.h"
 #include "fescue/rules.h"
@@ -252,4 +254,53 @@
 	rules_destroy(rules);
 }
 
+/*
+ * Requests are dealt by their ids: evenly over each thousand, alike on every
+ * node, and alike before and after a version that leaves the parts alone.
+ */
+TEST(rules, requests_are_dealt_by_their_ids)
+{
+	const std::string before = "service a # A\nservice b # A\n"
+				   "route GET */s/ a:80,b:20 # A\n";
+	const std::string one = "service a # A\nservice b # A\n"
+				"route GET */s/ a # A\n";
+	const std::string after = before + "route GET */t/ b # A\n";
+	struct rules *versions[3];
+	size_t count;
+	unsigned to_b = 0;
+	char id[32];
+
+	const std::string *texts[] = { &before, &after, &one };
+	for (int i = 0; i < 3; i++)
+		ASSERT_EQ(rules_parse(texts[i]->data(), texts[i]->size(),
+				      &versions[i], nullptr, 0, &count),
+			  0);
+	for (unsigned n = 0; n < 10000; n++) {
+		uint32_t part[3];
+
+		snprintf(id, sizeof(id), "%016x", n * 2654435761u);
+		for (int i = 0; i < 3; i++) {
+			const struct route_rule *rule =
+				rules_route(versions[i], 0);
+
+			if (strcmp(rule->prefix, "/s/"))
+				rule = rules_route(versions[i], 1);
+			part[i] = route_rule_part(
+				rule, route_rule_draw(rule, id, strlen(id)));
+		}
+		EXPECT_EQ(part[0], part[1]);
+		EXPECT_EQ(part[2], 0u);
+		to_b += part[0];
+		if (n % 1000 == 999) {
+			double share = (n + 1) * 0.2;
+
+			/* Within a tenth, and four standard deviations. */
+			EXPECT_NEAR(to_b, share,
+				    share * 0.1 + 4 * sqrt(share * 0.8));
+		}
+	}
+	for (struct rules *r : versions)
+		rules_destroy(r);
+}
+
 } // namespace
