Look twice at an empty list before taking a relay's part

Change: a node that found none looks again after a random part of a second and takes the part only if there are still none.

--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -20,6 +20,11 @@
 #define ASK_PEERS_MAX 32 /* a second: within the control budget */
 #define CONFLICT_PAUSE_MS 500 /* for two groups of nodes to merge */
 #define ROLE_DELAY_MS 1000
+/*
+ * Nodes that start together all find an empty list. Each looks again after a
+ * random part of this time, so that most find the records of the first.
+ */
+#define EMPTY_LIST_SPREAD_MS 1000
 /*
  * After a change the next one is not looked for at once: a storm of versions
  * is read once. Well below the time in which a change must be in force.
@@ -42,6 +47,7 @@
 	uint32_t retry_ms;
 	struct floor floor;
 	uint64_t role_at_ms; /* no relay role before peers could answer */
+	int found_none; /* the list was empty; it is read again at role_at_ms */
 	int store_up;
 	uint64_t probe_at_ms;
 	struct store_call *boot_call;
@@ -173,8 +179,12 @@
 	for (size_t i = 0; i < result->item_count; i++)
 		join(b, &result->items[i]);
 	b->settings.changed(b->settings.data);
-	b->role_at_ms =
-		bootstrap_now_ms(b) + (result->item_count ? ROLE_DELAY_MS : 0);
+	b->found_none = !result->item_count;
+	b->role_at_ms = bootstrap_now_ms(b) +
+			(b->found_none ?
+				 (uint64_t)g_rand_int_range(
+					 b->random, 0, EMPTY_LIST_SPREAD_MS) :
+				 ROLE_DELAY_MS);
 	b->phase = BOOT_VALUE;
 	b->boot_call =
 		store_get(b->settings.store, config_key(b), on_boot_value, b);
@@ -281,7 +291,8 @@
 /* A newcomer that knows no peer yet must not take itself for a relay. */
 static int may_take_role(const struct bootstrap *b, uint64_t now_ms)
 {
-	return b->phase == BOOT_DONE && now_ms >= b->role_at_ms;
+	return b->phase == BOOT_DONE && now_ms >= b->role_at_ms &&
+	       !b->found_none;
 }
 
 static void watch_tick(struct bootstrap *b, uint64_t now_ms)
@@ -308,6 +319,26 @@
 	b->settings.changed(b->settings.data);
 }
 
+/* The second list of a node that found none: still none, or others by now. */
+static void on_listed_again(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	on_relisted(data, result);
+	b->found_none = 0;
+	b->role_at_ms =
+		bootstrap_now_ms(b) + (result->item_count ? ROLE_DELAY_MS : 0);
+}
+
+static void list_again_tick(struct bootstrap *b, uint64_t now_ms)
+{
+	if (b->found_none && b->phase == BOOT_DONE && !b->rendezvous_call &&
+	    now_ms >= b->role_at_ms)
+		b->rendezvous_call = store_list(b->settings.store,
+						RENDEZVOUS_PREFIX,
+						on_listed_again, b);
+}
+
 static void relist(struct bootstrap *b)
 {
 	b->rendezvous_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
@@ -435,6 +466,7 @@
 	boot_tick(b, now_ms);
 	watch_tick(b, now_ms);
 	recheck_tick(b, now_ms);
+	list_again_tick(b, now_ms);
 	rendezvous_tick(b, now_ms);
 }
 
