Read lists of hosts as they were some seconds ago

The list after a conflict, the second list of a node that found none, and the configuration are read fresh: an old one would bring back what was withdrawn.

--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -31,6 +31,9 @@
  */
 #define WATCH_PAUSE_MS 600
 
+/* Addresses of hosts may be some seconds old; who else starts now may not. */
+enum list_age { LIST_FRESH, LIST_STALE_OK };
+
 enum boot_phase {
 	BOOT_WAIT, /* for the next attempt's time */
 	BOOT_LIST, /* reading the rendezvous records */
@@ -220,7 +223,7 @@
 	if (b->phase == BOOT_WAIT && now_ms >= b->attempt_at_ms) {
 		b->phase = BOOT_LIST;
 		b->boot_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
-					  on_list, b);
+					  LIST_STALE_OK, on_list, b);
 	}
 	confirm_by_peers(b, now_ms);
 }
@@ -335,14 +338,14 @@
 	if (b->found_none && b->phase == BOOT_DONE && !b->rendezvous_call &&
 	    now_ms >= b->role_at_ms)
 		b->rendezvous_call = store_list(b->settings.store,
-						RENDEZVOUS_PREFIX,
+						RENDEZVOUS_PREFIX, LIST_FRESH,
 						on_listed_again, b);
 }
 
-static void relist(struct bootstrap *b)
+static void relist(struct bootstrap *b, int stale_ok)
 {
 	b->rendezvous_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
-					on_relisted, b);
+					stale_ok, on_relisted, b);
 }
 
 /* A conflict means that another node took itself for the same relay. */
@@ -356,7 +359,7 @@
 	b->published = result->error == FESCUE_OK;
 	if (result->error == FESCUE_ECONFLICT) {
 		b->rendezvous_at_ms = bootstrap_now_ms(b) + CONFLICT_PAUSE_MS;
-		relist(b);
+		relist(b, LIST_FRESH);
 	}
 }
 
@@ -386,7 +389,7 @@
 		b->lease = 0;
 	}
 	if (!result->error)
-		relist(b);
+		relist(b, LIST_STALE_OK);
 }
 
 static void publish(struct bootstrap *b)
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -183,10 +183,26 @@
 		    step::CLOSE } });
 	store s(peer.address);
 
-	store_list(s.client, "p/", store::on_done, &s);
+	store_list(s.client, "p/", 0, store::on_done, &s);
 	EXPECT_EQ(s.wait().keys,
 		  (std::vector<std::string>{ "p/a", "p/b", "p/c" }));
 	EXPECT_NE(peer.requests[1].find("after=p/b"), std::string::npos);
+	EXPECT_EQ(peer.requests[1].find("staleOk"), std::string::npos);
+}
+
+/* Each page of a listing that may be stale is asked for as such. */
+TEST(store_client, stale_listing)
+{
+	const char *page = R"({"items":[{"key":"p/a"}],"hasMore":true})";
+	const char *last = R"({"items":[{"key":"p/b"}],"hasMore":false})";
+	scripted_peer peer({ { answer(200, page), step::KEEP },
+			     { answer(200, last), step::CLOSE } });
+	store s(peer.address);
+
+	store_list(s.client, "p/", 1, store::on_done, &s);
+	EXPECT_EQ(s.wait().keys, (std::vector<std::string>{ "p/a", "p/b" }));
+	for (const std::string &request : peer.requests)
+		EXPECT_NE(request.find("&staleOk=1"), std::string::npos);
 }
 
 /* Silence ends with the time-out, and its connection is not used again. */
