--- a/src/rules.c
+++ b/src/rules.c
@@ -21,7 +21,9 @@
 uint32_t route_rule_draw(const struct route_rule *rule, const char *id,
 			 size_t size)
 {
-	return (uint32_t)(XXH64(id, size, DRAW_SEED) % route_rule_weight(rule));
+	uint32_t weight = route_rule_weight(rule);
+
+	return weight ? (uint32_t)(XXH64(id, size, DRAW_SEED) % weight) : 0;
 }
 
 uint32_t route_rule_part(const struct route_rule *rule, uint32_t drawn)
