--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -5,13 +5,15 @@
  * Urgent calls may take every slot; background calls leave a reserved share
  * free, yet get one grant in ten while they wait. Within a class lower ranks
  * go first; within a rank calls that running calls made go before new ones,
- * deepest first, then calls that can still end in time before those that are
- * late already, then the earlier due. While calls of several depths come, calls
- * leave one slot to each greater depth, so that callers that hold slots do
- * not starve the calls they wait for. Queues are bounded. A call
- * that cannot be done before its deadline is refused at once, by the time its
- * kind takes in a slot, the work that goes before it and the share of the
- * slots that lower ranks take. The module owns no socket and reads no clock.
+ * deepest first, then calls that take far less time in a slot for what they are
+ * worth, then calls that can still end in time, the earlier due first, then late
+ * ones, the newest first. While calls of several depths come, calls leave one
+ * slot to each greater depth, so that callers that hold slots do not starve the
+ * calls they wait for. Queues are bounded. A call that cannot be done before its
+ * deadline is refused at once, by the time its kind takes in a slot, the work
+ * that goes before it and the share of the slots that lower ranks take; one that
+ * would probably not end in time any more does not start. The module owns no
+ * socket and reads no clock.
  */
 #ifndef FESCUE_ADMISSION_H
 #define FESCUE_ADMISSION_H
--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -1,9 +1,9 @@
 /*
  * Membership: which hosts exist, by probing, suspicion and refutation.
  *
- * One random host is probed each period; changes ride on probes and their
- * acknowledgements; table digests are compared and differing buckets are
- * exchanged. Only a host itself raises its incarnation. The module owns no
+ * One host is probed each period, in large fleets mostly one of the own failure
+ * domain; changes ride on probes and their acknowledgements; table digests are
+ * compared and differing buckets are exchanged. Only a host itself raises its incarnation. The module owns no
  * socket and reads no clock: the caller passes the time in milliseconds and
  * sends what is left in the outbox.
  */
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -83,14 +83,14 @@
 	double service_ms; /* time of such a call in a slot; 0: not known */
 	double kilobytes; /* of request and answer, expected */
 	uint32_t remaining_ms; /* until the call's deadline */
-	uint32_t latency_ms; /* until it is worth less; 0: it is late already */
+	uint32_t latency_ms; /* until its answer is worth less; 0: it is late */
 	uint64_t now_ms;
 };
 
 /*
  * Choose a host of the service. Returns 0 and stores its address key, or
- * FESCUE_ENOTFOUND when none is left, FESCUE_ETIMEOUT when the best one is
- * in another failure domain and not worth its cost in the time that remains.
+ * FESCUE_ENOTFOUND when none is left. A host of another failure domain is chosen
+ * rather than none, whatever the call costs to cross.
  */
 int router_choose(struct router *router, const struct router_question *question,
 		  uint64_t *host);
@@ -101,8 +101,9 @@
 		    struct router_reason *reason);
 
 /*
- * How long the call may wait for a slot of the host that was chosen for it,
- * at most limit_ms.
+ * How long the call may wait for a slot of the host that was chosen for it, in
+ * ms and at most limit_ms: no longer than another host that seems to have room
+ * could still end it in time. It is to be handed back then.
  */
 uint32_t router_wait_max(struct router *router,
 			 const struct router_question *question, uint64_t host,
--- a/fescue/rules.h
+++ b/fescue/rules.h
@@ -44,6 +44,12 @@
 #define RULES_HEADER_DEFAULT_MS 10000
 #define RULES_IDLE_DEFAULT_MS 60000
 
+/*
+ * Times in a slot vary: of the calls that have this part of their kind's mean
+ * left, most end in time.
+ */
+#define CALL_IN_TIME_FACTOR 1.5
+
 enum call_class { CALL_CLASS_URGENT, CALL_CLASS_BACKGROUND, CALL_CLASS_COUNT };
 
 /* What the file promises for the calls of one route. */
--- a/src/admission.c
+++ b/src/admission.c
@@ -10,8 +10,6 @@
 #define KINDS_MAX 256 /* routes come and go with versions */
 #define SHARE_HALF_LIFE_MS 1000.0 /* of the work that ranks were granted */
 #define SHARE_LEFT_MIN 0.1 /* even under a flood of lower ranks */
-/* Work times vary: with this part of the mean left most calls end in time. */
-#define IN_TIME_FACTOR 1.5
 #define LATE_WORTH 0.5 /* of an answer in time */
 #define FAR_SHORTER_FACTOR 2.0
 #define BACKGROUND_GRANT_PERIOD 10
@@ -177,7 +175,7 @@
 static int is_late(const struct admission *a, const struct admission_call *call,
 		   uint64_t now_ms)
 {
-	double ms = kind_us(a, call->kind) / 1000 * IN_TIME_FACTOR;
+	double ms = kind_us(a, call->kind) / 1000 * CALL_IN_TIME_FACTOR;
 
 	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
 }
@@ -348,7 +346,7 @@
 	double needed_ms = 0;
 
 	if (a->policy != ADMISSION_FIFO)
-		needed_ms = kind_us(a, call->kind) / 1000 * IN_TIME_FACTOR;
+		needed_ms = kind_us(a, call->kind) / 1000 * CALL_IN_TIME_FACTOR;
 	return now_ms < call->queue_until_ms &&
 	       now_ms + (uint64_t)needed_ms < call->deadline_ms;
 }
--- a/src/membership.c
+++ b/src/membership.c
@@ -104,7 +104,7 @@
 	return n;
 }
 
-/* One newcomer takes a whole table; others compare theirs now and then. */
+/* A newcomer asks for a whole table, of its own domain first. */
 static int newcomer_sync_is_due(const struct membership *m, int own_domain)
 {
 	uint64_t now_ms = m->table.now_ms;
@@ -113,6 +113,10 @@
 	       now_ms >= m->last_sync_ms + m->settings.probe_timeout_ms;
 }
 
+/*
+ * Is it time to compare tables with a peer? With one of another domain as much
+ * less often as there are more hosts that may do so.
+ */
 static int sync_is_due(const struct membership *m, const struct member *peer,
 		       uint32_t their_digest)
 {
--- a/src/router.c
+++ b/src/router.c
@@ -14,8 +14,6 @@
  */
 #define SAMPLE 2
 #define SAMPLE_ALL_MAX 3 /* so few hosts are all looked at */
-/* Work times vary: with this part of the mean left most calls end in time. */
-#define IN_TIME_FACTOR 1.5
 /* Of a side of the fleet, against one host that has just told its load. */
 #define NO_NEWS_WEIGHT 0.25
 #define ROOM_LIKELY 0.5
@@ -269,7 +267,7 @@
 	g_array_set_size(candidates, kept);
 }
 
-/* One of the cheapest hosts, at random; NULL: none is worth its cost. */
+/* One of the cheapest hosts, at random. */
 static const struct candidate *cheapest(struct router *r,
 					const GArray *candidates,
 					const struct router_question *q)
@@ -323,10 +321,9 @@
 		return FESCUE_ENOTFOUND;
 	}
 	chosen = pick(r, candidates, q);
-	if (chosen)
-		*host = chosen->host->host;
+	*host = chosen->host->host;
 	g_array_free(candidates, TRUE);
-	return chosen ? FESCUE_OK : FESCUE_ETIMEOUT;
+	return FESCUE_OK;
 }
 
 void router_explain(struct router *r, const struct router_question *q,
@@ -353,11 +350,11 @@
 
 /*
  * How likely a host of one side, the own domain or the others, has a free slot:
- * the share of those that lately told their load. What was never told is taken
- * for room, with little weight, so that a side without news is tried at times.
+ * the share of those that told so, the latest answers counting most. Silence
+ * counts as room, with little weight: a side without news is tried at times.
  */
 static double likely_room(const struct router *r, const GArray *candidates,
-			  const struct router_question *q, uint64_t but,
+			  const struct router_question *q, uint64_t except,
 			  int own)
 {
 	double roomy = NO_NEWS_WEIGHT, all = NO_NEWS_WEIGHT;
@@ -369,7 +366,7 @@
 		double age = (double)(q->now_ms - e->load_at_ms);
 		double weight = exp2(-age / r->settings.load_half_life_ms);
 
-		if (c->host->host == but || is_own_domain(c, q) != own)
+		if (c->host->host == except || is_own_domain(c, q) != own)
 			continue;
 		any = 1;
 		if (!e->load.slots)
@@ -407,7 +404,7 @@
 			 uint64_t host, uint32_t limit_ms)
 {
 	double service = q->service_ms ? q->service_ms : SERVICE_INITIAL_MS;
-	double in_time = q->latency_ms - service * IN_TIME_FACTOR;
+	double in_time = q->latency_ms - service * CALL_IN_TIME_FACTOR;
 
 	if (in_time <= 0 || in_time >= limit_ms ||
 	    seems_free(r, host, q->now_ms) || !another_has_room(r, q, host))
