Read the change once more: one piece where two stood, no count for packets that need none

- the hosts of the own domain are counted only when tables of two domains may be compared, not for each packet that carries gossip;
- a request's class, the lists of hosts and the listening sockets of tests were written twice;
- a split's part is drawn by the id that the call has copied already;
- the order of two waiting calls looks up each one's time once.

--- a/fescue/membership.h
+++ b/fescue/membership.h
@@ -3,9 +3,9 @@
  *
  * One host is probed each period, in large fleets mostly one of the own failure
  * domain; changes ride on probes and their acknowledgements; table digests are
- * compared and differing buckets are exchanged. Only a host itself raises its incarnation. The module owns no
- * socket and reads no clock: the caller passes the time in milliseconds and
- * sends what is left in the outbox.
+ * compared and differing buckets are exchanged. Only a host itself raises its
+ * incarnation. The module owns no socket and reads no clock: the caller passes
+ * the time in milliseconds and sends what is left in the outbox.
  */
 #ifndef FESCUE_MEMBERSHIP_H
 #define FESCUE_MEMBERSHIP_H
--- a/src/admission.c
+++ b/src/admission.c
@@ -171,22 +171,15 @@
 	return MAX(1 - before_us / full_us, SHARE_LEFT_MIN);
 }
 
-/* Would most calls of the kind that start now end after the due time? */
-static int is_late(const struct admission *a, const struct admission_call *call,
+/* Would most calls that take us in a slot end late if they started now? */
+static int is_late(const struct admission_call *call, double us,
 		   uint64_t now_ms)
 {
-	double ms = kind_us(a, call->kind) / 1000 * CALL_IN_TIME_FACTOR;
+	double ms = us / 1000 * CALL_IN_TIME_FACTOR;
 
 	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
 }
 
-/* Time in a slot that the call takes for what its answer is worth. */
-static double worth_price_us(const struct admission *a,
-			     const struct admission_call *call, int late)
-{
-	return kind_us(a, call->kind) / (late ? LATE_WORTH : 1);
-}
-
 /*
  * Which of two waiting calls of one rank and depth goes first. Far shorter ones
  * do: calls that running calls wait for are, and a slot serves more of them. Of
@@ -196,9 +189,12 @@
 			 const struct admission_call *x,
 			 const struct admission_call *y, uint64_t now_ms)
 {
-	int late_x = is_late(a, x, now_ms), late_y = is_late(a, y, now_ms);
-	double price_x = worth_price_us(a, x, late_x);
-	double price_y = worth_price_us(a, y, late_y);
+	double us_x = kind_us(a, x->kind), us_y = kind_us(a, y->kind);
+	int late_x = is_late(x, us_x, now_ms);
+	int late_y = is_late(y, us_y, now_ms);
+	/* Time in a slot for what the answer is worth. */
+	double price_x = late_x ? us_x / LATE_WORTH : us_x;
+	double price_y = late_y ? us_y / LATE_WORTH : us_y;
 
 	if (price_x * FAR_SHORTER_FACTOR < price_y)
 		return 1;
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -32,8 +32,7 @@
 	uint64_t now = backend_now_ms(b);
 	struct admission_call call = {
 		.ticket = b->next_ticket + 1,
-		.call_class = request->call_class ? CALL_CLASS_BACKGROUND :
-						    CALL_CLASS_URGENT,
+		.call_class = backend_request_class(request),
 		.rank = request->rank,
 		.depth = request->depth,
 		.kind = request->kind,
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -77,18 +77,12 @@
 
 static void start_next(struct backend_server *b);
 
-static enum call_class serving_class(const struct serving *s)
-{
-	return s->request->call_class ? CALL_CLASS_BACKGROUND :
-					CALL_CLASS_URGENT;
-}
-
 /* The call is over: free its slot if it holds one, then start the next. */
 void serving_end(struct serving *s)
 {
 	struct backend_server *b = s->backend;
 	uint64_t spent_us = monotonic_clock_us() - s->started_us;
-	enum call_class call_class = serving_class(s);
+	enum call_class call_class = backend_request_class(s->request);
 
 	switch (s->state) {
 	case SERVING_QUEUED:
@@ -294,8 +288,9 @@
 
 	s->state = SERVING_RUNNING;
 	s->started_us = monotonic_clock_us();
-	histogram_record(&b->links->counters->gate_us[serving_class(s)],
-			 s->started_us - s->arrived_us);
+	histogram_record(
+		&b->links->counters->gate_us[backend_request_class(s->request)],
+		s->started_us - s->arrived_us);
 	if (backend_now_ms(b) >= s->deadline_ms || !b->pool) {
 		backend_refuse(b, s->from, s->request, s->arrived_us,
 			       b->pool ? "no slot became free in time" :
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -58,6 +58,12 @@
 	b->links->counters->values[counter]++;
 }
 
+static inline enum call_class
+backend_request_class(const Fescue__CallRequest *request)
+{
+	return request->call_class ? CALL_CLASS_BACKGROUND : CALL_CLASS_URGENT;
+}
+
 /* The id that the caller gave the request, or NULL. */
 const char *backend_request_id(const struct backend_server *backend,
 			       const Fescue__CallRequest *request);
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -183,11 +183,11 @@
 		join(b, &result->items[i]);
 	b->settings.changed(b->settings.data);
 	b->found_none = !result->item_count;
-	b->role_at_ms = bootstrap_now_ms(b) +
-			(b->found_none ?
-				 (uint64_t)g_rand_int_range(
-					 b->random, 0, EMPTY_LIST_SPREAD_MS) :
-				 ROLE_DELAY_MS);
+	b->role_at_ms = bootstrap_now_ms(b) + ROLE_DELAY_MS;
+	if (b->found_none)
+		b->role_at_ms = bootstrap_now_ms(b) +
+				(uint64_t)g_rand_int_range(
+					b->random, 0, EMPTY_LIST_SPREAD_MS);
 	b->phase = BOOT_VALUE;
 	b->boot_call =
 		store_get(b->settings.store, config_key(b), on_boot_value, b);
@@ -333,19 +333,18 @@
 		bootstrap_now_ms(b) + (result->item_count ? ROLE_DELAY_MS : 0);
 }
 
-static void list_again_tick(struct bootstrap *b, uint64_t now_ms)
+static void relist(struct bootstrap *b, enum list_age age,
+		   void (*done)(void *data, const struct store_result *result))
 {
-	if (b->found_none && b->phase == BOOT_DONE && !b->rendezvous_call &&
-	    now_ms >= b->role_at_ms)
-		b->rendezvous_call = store_list(b->settings.store,
-						RENDEZVOUS_PREFIX, LIST_FRESH,
-						on_listed_again, b);
+	b->rendezvous_call =
+		store_list(b->settings.store, RENDEZVOUS_PREFIX, age, done, b);
 }
 
-static void relist(struct bootstrap *b, int stale_ok)
+static void list_again_tick(struct bootstrap *b, uint64_t now_ms)
 {
-	b->rendezvous_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
-					stale_ok, on_relisted, b);
+	if (b->found_none && b->phase == BOOT_DONE && !b->rendezvous_call &&
+	    now_ms >= b->role_at_ms)
+		relist(b, LIST_FRESH, on_listed_again);
 }
 
 /* A conflict means that another node took itself for the same relay. */
@@ -359,7 +358,7 @@
 	b->published = result->error == FESCUE_OK;
 	if (result->error == FESCUE_ECONFLICT) {
 		b->rendezvous_at_ms = bootstrap_now_ms(b) + CONFLICT_PAUSE_MS;
-		relist(b, LIST_FRESH);
+		relist(b, LIST_FRESH, on_relisted);
 	}
 }
 
@@ -389,7 +388,7 @@
 		b->lease = 0;
 	}
 	if (!result->error)
-		relist(b, LIST_STALE_OK);
+		relist(b, LIST_STALE_OK, on_relisted);
 }
 
 static void publish(struct bootstrap *b)
--- a/src/caller.c
+++ b/src/caller.c
@@ -403,18 +403,16 @@
  * room is not relieved by the others: the operators set the shares.
  */
 static uint32_t draw_part(struct caller_table *t, const struct route_rule *rule,
-			  const struct http_exchange *exchange)
+			  const struct call_origin *origin)
 {
-	const char *name = t->links->headers->request_id;
-	struct http_text id = { NULL, 0 };
+	const char *id =
+		call_origin_header(origin, t->links->headers->request_id);
 	uint32_t drawn;
 
 	if (rule->part_count == 1)
 		return 0;
-	if (name)
-		id = http_exchange_header(exchange, name);
-	if (id.size)
-		drawn = route_rule_draw(rule, id.bytes, id.size);
+	if (id && *id)
+		drawn = route_rule_draw(rule, id, strlen(id));
 	else
 		drawn = (uint32_t)g_rand_int_range(
 			t->random, 0, (gint32)route_rule_weight(rule));
@@ -434,12 +432,12 @@
 	c->exchange = exchange;
 	c->snapshot = snapshot_ref(snapshot);
 	c->route = route;
-	c->part = draw_part(t, rule, exchange);
-	c->budget = retry_budgets_of(t->budgets, rule->parts[c->part].service);
 	c->depth = depth;
 	c->contract = rule->contract;
 	call_origin_copy(&c->origin, exchange, t->links->headers,
 			 t->settings.service, depth);
+	c->part = draw_part(t, rule, &c->origin);
+	c->budget = retry_budgets_of(t->budgets, rule->parts[c->part].service);
 	wait_ms = http_exchange_header_number(
 		exchange, t->links->headers->deadline, c->contract.deadline_ms);
 	wait_ms = MIN(wait_ms, c->contract.deadline_ms);
--- a/src/membership.c
+++ b/src/membership.c
@@ -121,15 +121,15 @@
 		       uint32_t their_digest)
 {
 	int own_domain = peer && is_own_domain(m, peer);
-	uint64_t hosts = count_own_domain(m), interval_ms;
+	uint64_t interval_ms = m->settings.sync_interval_ms, hosts;
 
 	if (!m->synced)
 		return newcomer_sync_is_due(m, own_domain);
 	if (their_digest == member_table_digest(&m->table))
 		return 0;
-	interval_ms = m->settings.sync_interval_ms;
 	if (own_domain)
 		return m->table.now_ms >= m->last_sync_ms + interval_ms;
+	hosts = count_own_domain(m);
 	interval_ms = interval_ms * MAX(hosts, CROSS_PROBERS) / CROSS_PROBERS;
 	return !m->last_cross_sync_ms ||
 	       m->table.now_ms >= m->last_cross_sync_ms + interval_ms;
--- a/test/scripted_peer.h
+++ b/test/scripted_peer.h
@@ -25,6 +25,22 @@
 	std::string again = {};
 };
 
+/* A socket that listens on a free loopback port, which is stored. */
+inline int listen_on_loopback(int flags, int backlog, struct address *address)
+{
+	struct sockaddr_in in = {};
+	socklen_t len = sizeof(in);
+	int listener = socket(AF_INET, SOCK_STREAM | flags, 0);
+
+	in.sin_family = AF_INET;
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(listener, (struct sockaddr *)&in, sizeof(in));
+	listen(listener, backlog);
+	getsockname(listener, (struct sockaddr *)&in, &len);
+	address->port = ntohs(in.sin_port);
+	return listener;
+}
+
 /* A peer that plays one step a request, each connection going on. */
 struct scripted_peer {
 	int listener;
@@ -37,16 +53,7 @@
 
 	explicit scripted_peer(std::vector<step> s) : steps(std::move(s))
 	{
-		struct sockaddr_in in = {};
-		socklen_t len = sizeof(in);
-
-		in.sin_family = AF_INET;
-		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM, 0);
-		bind(listener, (struct sockaddr *)&in, sizeof(in));
-		listen(listener, 8);
-		getsockname(listener, (struct sockaddr *)&in, &len);
-		address.port = ntohs(in.sin_port);
+		listener = listen_on_loopback(0, 8, &address);
 		thread = std::thread([this] { play(); });
 	}
 	~scripted_peer()
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -83,16 +83,7 @@
 
 	explicit endless_server(std::string b) : bytes(std::move(b))
 	{
-		struct sockaddr_in in = {};
-		socklen_t len = sizeof(in);
-
-		in.sin_family = AF_INET;
-		in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		bind(listener, (struct sockaddr *)&in, sizeof(in));
-		listen(listener, 200);
-		getsockname(listener, (struct sockaddr *)&in, &len);
-		address.port = ntohs(in.sin_port);
+		listener = listen_on_loopback(SOCK_NONBLOCK, 200, &address);
 		thread = std::thread([this] { serve(); });
 	}
 	~endless_server()
