Drop requests whose caller left before they were read

Entry and target were the same node, so the requests waited unread while the process stalled; the close that follows a request is only seen in a later iteration of the event loop. Ruled out: the queue (a queued call is refused at its deadline) and a slow connection to the backend server (ended by the same deadline).

Change: the entry node looks for the close before it routes the request, and drops it with a log line.

Two cases in test_http play the stall: a request and its close are both in the socket before the loop runs.

--- a/src/caller.c
+++ b/src/caller.c
@@ -483,6 +483,19 @@
 			   0, reason);
 }
 
+/* The caller left before its request was read. */
+static void drop_abandoned(struct caller_table *t,
+			   struct http_exchange *exchange)
+{
+	char id[LOG_QUOTED_BYTES], quoted[LOG_QUOTED_BYTES];
+
+	caller_count(t, COUNTER_calls_canceled);
+	copy_request_id(t, exchange, id);
+	log_event(LOG_FAILURE, "caller_left", "\"id\":%s,\"attempts\":0",
+		  log_quote(id, quoted));
+	http_exchange_abort(exchange);
+}
+
 /* Look up the request's route; if there is none, answer the exchange. */
 static int find_route(struct caller_table *t, struct snapshot *snapshot,
 		      struct http_exchange *exchange,
@@ -532,6 +545,10 @@
 	struct call *c;
 
 	caller_count(t, COUNTER_calls_received);
+	if (http_exchange_caller_left(exchange)) {
+		drop_abandoned(t, exchange);
+		return;
+	}
 	if (!snapshot || depth >= DEPTH_MAX) {
 		refuse(t, exchange, 503,
 		       depth >= DEPTH_MAX ? "calls nest too deep" : reason);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -2,6 +2,7 @@
 
 #include "fescue/error.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <h2o.h>
 #include <h2o/http1.h>
@@ -373,6 +374,15 @@
 	return (uint32_t)value;
 }
 
+int http_exchange_caller_left(const struct http_exchange *exchange)
+{
+	int fd = h2o_socket_get_fd(exchange_socket(exchange));
+	char byte;
+	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 void http_exchange_on_close(struct http_exchange *exchange,
 			    void (*closed)(void *data), void *data)
 {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -91,6 +91,12 @@
 uint32_t http_exchange_header_number(const struct http_exchange *exchange,
 				     const char *name, uint32_t fallback);
 
+/*
+ * Returns 1 if the caller has closed the connection already. After a stall of
+ * the process a request can be read together with the close that follows it.
+ */
+int http_exchange_caller_left(const struct http_exchange *exchange);
+
 /*
  * Set a callback for when the caller disconnects before the reply; closed is
  * called at most once, and the exchange is invalid afterwards.
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -20,6 +20,7 @@
 	struct http_pool *pool = nullptr;
 	struct http_exchange *pending_exchange = nullptr;
 	int closed = 0;
+	int caller_left = -1; /* set by requests for /caller-left */
 	int done = 0;
 	int error = 0;
 	int sent = 0;
@@ -53,6 +54,9 @@
 		if (http_exchange_path_is(exchange, "/echo")) {
 			http_exchange_reply(exchange, 200, nullptr, 0,
 					    text.bytes, text.size);
+		} else if (http_exchange_path_is(exchange, "/caller-left")) {
+			f->caller_left = http_exchange_caller_left(exchange);
+			http_exchange_abort(exchange);
 		} else if (http_exchange_path_is(exchange, "/abort")) {
 			http_exchange_on_close(exchange, on_closed, f);
 			http_exchange_abort(exchange);
@@ -127,6 +131,40 @@
 	EXPECT_EQ(f.sent, 1);
 }
 
+/* Sends a request on a connection of its own; returns the socket. */
+int send_raw_request(const char *text)
+{
+	struct sockaddr_in in = address_to_sockaddr(loopback);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	EXPECT_EQ(write(fd, text, strlen(text)), (ssize_t)strlen(text));
+	return fd;
+}
+
+/* The process stalls while a caller sends a request and gives up. */
+TEST(http, close_that_follows_an_unread_request_is_noticed)
+{
+	fixture f;
+	int fd = send_raw_request(
+		"GET /caller-left HTTP/1.1\r\nhost: a\r\n\r\n");
+
+	close(fd);
+	f.run(50);
+	EXPECT_EQ(f.caller_left, 1);
+}
+
+TEST(http, waiting_caller_has_not_left)
+{
+	fixture f;
+	int fd = send_raw_request(
+		"GET /caller-left HTTP/1.1\r\nhost: a\r\n\r\n");
+
+	f.run(50);
+	EXPECT_EQ(f.caller_left, 0);
+	close(fd);
+}
+
 TEST(http, refused_connection_is_reported_as_not_sent)
 {
 	fixture f;
