--- a/src/admission.c
+++ b/src/admission.c
@@ -125,13 +125,16 @@
 	       keeps_nested_reserve(a, depth_index(call->depth), now_ms);
 }
 
-/* Mean service time of the kind, or of all calls if the kind is new. */
+/*
+ * Mean service time of the kind; 0 until one has finished, so that an estimate
+ * can't keep the first of them from being started.
+ */
 static double mean_service_us(const struct admission *a, uint32_t kind)
 {
 	const double *us =
 		g_hash_table_lookup(a->kind_means_us, GUINT_TO_POINTER(kind));
 
-	return us ? *us : a->service_us;
+	return us ? *us : 0;
 }
 
 static uint32_t rank_index(const struct admission_call *call)
