Count the target latency from a caller's first attempt

Hypothesis: under overload a caller that was refused and comes back is queued as if it were new, before callers that can still be answered in time, though its own target latency has passed.

Change: an entry node remembers the calls it refused until their callers give up and recognizes them when they return by request and time to give up; the target latency then counts from the first attempt.

--- a/src/caller.c
+++ b/src/caller.c
@@ -4,6 +4,7 @@
 #include "call_reply.h"
 #include "events.h"
 #include "fescue/error.h"
+#include "fescue/quarantine.h"
 #include "log.h"
 
 #include <inttypes.h>
@@ -98,6 +99,25 @@
 	call_end(c);
 }
 
+/* Equal for all attempts of a caller. */
+static uint64_t call_fingerprint(const struct call *c)
+{
+	const struct caller_request *r = &c->request;
+
+	return quarantine_fingerprint(r->host, r->method, r->path, r->body,
+				      r->body_size);
+}
+
+static void record_refusal(struct call *c)
+{
+	struct caller_table *t = c->table;
+
+	if (c->caller_deadline_ms)
+		refusals_add(t->refusals, call_fingerprint(c),
+			     c->caller_deadline_ms, c->first_received_ms,
+			     caller_now_ms(t));
+}
+
 static void finish_failed(struct call *c, enum call_outcome outcome, int status,
 			  const char *reason)
 {
@@ -107,6 +127,8 @@
 		finish_answered(c, c->fallback);
 		return;
 	}
+	if (outcome == CALL_NOT_RUN)
+		record_refusal(c);
 	count_outcome(c, outcome);
 	call_log_failed(c, outcome, status, reason);
 	close_if_stopping(t, c->exchange);
@@ -420,6 +442,26 @@
 	return route_rule_target_at(rule, offset);
 }
 
+/* caller_ms: time until the caller gives up; 0: it does not say */
+static void set_times(struct call *c, uint32_t caller_ms)
+{
+	struct caller_table *t = c->table;
+	uint32_t wait_ms = c->call_policy.deadline_ms;
+
+	c->received_ms = caller_now_ms(t);
+	c->first_received_ms = c->received_ms;
+	if (caller_ms) {
+		wait_ms = MIN(wait_ms, caller_ms);
+		c->caller_deadline_ms = c->received_ms + caller_ms;
+		c->first_received_ms =
+			refusals_take(t->refusals, call_fingerprint(c),
+				      c->caller_deadline_ms, c->received_ms);
+	}
+	c->deadline_ms = c->received_ms + wait_ms;
+	c->due_ms = c->first_received_ms + c->call_policy.latency_ms;
+	c->queue_until_ms = c->received_ms + wait_ms / QUEUE_WAIT_DIVISOR;
+}
+
 static struct call *call_create(struct caller_table *t,
 				struct http_exchange *exchange,
 				struct snapshot *snapshot,
@@ -427,7 +469,6 @@
 {
 	struct call *c = g_new0(struct call, 1);
 	const struct route_rule *rule = snapshot_route(snapshot, route);
-	uint32_t wait_ms;
 
 	c->table = t;
 	c->exchange = exchange;
@@ -440,19 +481,14 @@
 	c->target = select_target(t, rule, &c->request);
 	c->budget =
 		retry_budgets_get(t->budgets, rule->targets[c->target].service);
-	wait_ms = http_exchange_header_number(exchange,
-					      t->context->headers->deadline,
-					      c->call_policy.deadline_ms);
-	wait_ms = MIN(wait_ms, c->call_policy.deadline_ms);
-	c->received_ms = caller_now_ms(t);
-	c->deadline_ms = c->received_ms + wait_ms;
-	c->due_ms = c->received_ms + c->call_policy.latency_ms;
-	c->queue_until_ms = c->received_ms + wait_ms / QUEUE_WAIT_DIVISOR;
+	set_times(c, http_exchange_header_number(
+			     exchange, t->context->headers->deadline, 0));
 	c->received_us = monotonic_clock_us();
 	c->outcome = CALL_NOT_RUN;
 	uv_timer_init(t->context->loop, &c->timer);
 	c->timer.data = c;
-	uv_timer_start(&c->timer, on_deadline, wait_ms + DEADLINE_GRACE_MS, 0);
+	uv_timer_start(&c->timer, on_deadline,
+		       c->deadline_ms - c->received_ms + DEADLINE_GRACE_MS, 0);
 	t->in_flight++;
 	return c;
 }
@@ -587,6 +623,7 @@
 	t->random = g_rand_new_with_seed(settings->seed + 1);
 	t->stats = call_stats_create();
 	t->budgets = retry_budgets_create(settings->retry_burst);
+	t->refusals = refusals_create();
 	t->last_attempt_id = wall_clock_us() << ATTEMPT_ID_TIME_SHIFT >> 1;
 	t->attempts = g_hash_table_new(g_int64_hash, g_int64_equal);
 	return t;
@@ -601,6 +638,7 @@
 	g_rand_free(t->random);
 	call_stats_destroy(t->stats);
 	retry_budgets_destroy(t->budgets);
+	refusals_destroy(t->refusals);
 	g_free(t);
 }
 
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -8,6 +8,7 @@
 #include "call_request.h"
 #include "call_stats.h"
 #include "caller.h"
+#include "fescue/refusals.h"
 
 #define TRIED_HOSTS_MAX (RULES_RETRIES_MAX + 1 + RETRY_REROUTES_MAX + 1)
 
@@ -32,7 +33,13 @@
 	struct call_policy call_policy;
 	struct caller_request request;
 	uint64_t received_ms;
-	uint64_t due_ms; /* end of the route's target latency */
+	/*
+	 * Arrival of the caller's first attempt, if this node refused that one;
+	 * else received_ms.
+	 */
+	uint64_t first_received_ms;
+	uint64_t caller_deadline_ms; /* the caller gives up; 0: not stated */
+	uint64_t due_ms; /* end of the target latency, from the first attempt */
 	uint64_t deadline_ms;
 	uint64_t queue_until_ms; /* refused if it has no slot by this time */
 	uint64_t received_us;
@@ -60,6 +67,7 @@
 	GRand *random;
 	struct call_stats *stats;
 	struct retry_budgets *budgets;
+	struct refusals *refusals;
 	uint64_t last_attempt_id;
 	GHashTable *attempts; /* attempt_id -> struct call, pending ones */
 	size_t in_flight;
--- /dev/null
+++ b/test/test_refusals.cc
@@ -0,0 +1,62 @@
+#include "support.h"
+
+extern "C" {
+#include "fescue/refusals.h"
+}
+
+namespace
+{
+
+struct fixture {
+	struct refusals *r = refusals_create();
+
+	~fixture()
+	{
+		refusals_destroy(r);
+	}
+};
+
+TEST(refusals, returning_request_keeps_its_first_arrival)
+{
+	fixture f;
+
+	refusals_add(f.r, 7, 1000, 200, 500);
+	EXPECT_EQ(refusals_take(f.r, 7, 1004, 650), 200u);
+	/* Its refusal is forgotten. */
+	EXPECT_EQ(refusals_take(f.r, 7, 1004, 650), 650u);
+}
+
+TEST(refusals, other_requests_are_new)
+{
+	fixture f;
+
+	refusals_add(f.r, 7, 1000, 200, 500);
+	EXPECT_EQ(refusals_take(f.r, 8, 1000, 650), 650u);
+	EXPECT_EQ(refusals_take(f.r, 7, 1000 + REFUSALS_TOLERANCE_MS + 1, 650),
+		  650u);
+	EXPECT_EQ(refusals_take(f.r, 7, 1000 - REFUSALS_TOLERANCE_MS - 1, 650),
+		  650u);
+	EXPECT_EQ(refusals_take(f.r, 7, 1000, 650), 200u);
+}
+
+TEST(refusals, request_refused_at_its_deadline_does_not_return)
+{
+	fixture f;
+
+	refusals_add(f.r, 7, 1000, 200, 1000);
+	EXPECT_EQ(refusals_take(f.r, 7, 1000, 1001), 1001u);
+}
+
+TEST(refusals, oldest_refusals_are_forgotten)
+{
+	fixture f;
+
+	for (unsigned i = 0; i <= REFUSALS_MAX; i++)
+		refusals_add(f.r, i, 100000, i, 50000);
+	EXPECT_EQ(refusals_take(f.r, 0, 100000, 60000), 60000u);
+	EXPECT_EQ(refusals_take(f.r, 1, 100000, 60000), 1u);
+	EXPECT_EQ(refusals_take(f.r, REFUSALS_MAX, 100000, 60000),
+		  (uint64_t)REFUSALS_MAX);
+}
+
+} // namespace
