Leave out hosts of other domains that would refuse a call

Change: the router leaves out a host of another domain whose load report says that the call would not start before its queue time ends; if nothing else is left the caller is refused at once with the time until the first of them has room. Load reports tell the wait of a call that can meet its target latency from that of one that can't, as the former overtakes the latter.

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -109,12 +109,18 @@
 /* Mean service time of a kind in microseconds; 0 if none has finished. */
 uint32_t admission_service_us(const struct admission *admission, uint32_t kind);
 
-/*
- * Stores the expected wait for a slot, in milliseconds, of a call of each rank
- * that arrives now.
- */
-void admission_rank_waits(const struct admission *admission,
-			  uint32_t waits_ms[RULES_RANK_LEVELS]);
+/* Expected wait for a slot, in milliseconds, of a call that arrives now. */
+struct rank_waits {
+	uint32_t any_ms[RULES_RANK_LEVELS]; /* behind all queued calls */
+	/*
+	 * Of a call that can meet its target latency: it overtakes the queued
+	 * calls of its rank that can't.
+	 */
+	uint32_t timely_ms[RULES_RANK_LEVELS];
+};
+
+void admission_rank_waits(const struct admission *admission, uint64_t now_ms,
+			  struct rank_waits *waits);
 
 /*
  * Expected time in milliseconds to work off the calls that are queued now.
--- a/fescue/router.h
+++ b/fescue/router.h
@@ -15,6 +15,7 @@
 #ifndef FESCUE_ROUTER_H
 #define FESCUE_ROUTER_H
 
+#include "fescue/admission.h"
 #include "fescue/snapshot.h"
 
 enum router_policy {
@@ -66,8 +67,8 @@
 	 * 0: not known.
 	 */
 	double service_time_ratio;
-	int has_waits; /* waits_ms is set */
-	uint32_t waits_ms[RULES_RANK_LEVELS]; /* for a slot, by rank */
+	int has_waits; /* waits is set */
+	struct rank_waits waits;
 };
 
 /* Estimates for a host that was chosen, for the log. */
@@ -100,6 +101,7 @@
 	double kilobytes; /* expected size of request and answer */
 	uint32_t remaining_ms; /* until the deadline; no policy uses it */
 	uint32_t latency_ms; /* until the target latency; 0: missed */
+	uint32_t queue_ms; /* for which the call may be queued */
 	uint64_t now_ms;
 };
 
@@ -107,11 +109,16 @@
  * Selects a host of the service and stores its address key in host. Returns
  * FESCUE_OK, or FESCUE_ENOTFOUND if no host is left.
  *
+ * A host of another domain is left out if its load report tells that the call
+ * would not start before its queue time ends: it would refuse the call. If only
+ * such hosts are left, returns FESCUE_EUNAVAILABLE and stores in *busy_ms the
+ * time in ms after which the first of them expects to have room.
+ *
  * The cost of crossing to another failure domain affects the order of hosts
  * only: if just hosts of other domains are left, one of them is chosen.
  */
 int router_choose(struct router *router, const struct router_request *request,
-		  uint64_t *host);
+		  uint64_t *host, uint32_t *busy_ms);
 
 /*
  * Fills in the estimates for the host that router_choose() has just returned
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -2129,7 +2129,7 @@
   (ProtobufCMessageInit) fescue__call_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[18] =
+static const ProtobufCFieldDescriptor fescue__call_answer__field_descriptors[19] =
 {
   {
     "call_id",
@@ -2347,6 +2347,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "timely_waits_ms",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Fescue__CallAnswer, n_timely_waits_ms),
+    offsetof(Fescue__CallAnswer, timely_waits_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_answer__field_indices_by_name[] = {
   12,   /* field[12] = arrived */
@@ -2366,12 +2378,13 @@
   9,   /* field[9] = slots */
   2,   /* field[2] = status */
   11,   /* field[11] = suspect */
+  18,   /* field[18] = timely_waits_ms */
   15,   /* field[15] = waits_ms */
 };
 static const ProtobufCIntRange fescue__call_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor fescue__call_answer__descriptor =
 {
@@ -2381,7 +2394,7 @@
   "Fescue__CallAnswer",
   "fescue",
   sizeof(Fescue__CallAnswer),
-  18,
+  19,
   fescue__call_answer__field_descriptors,
   fescue__call_answer__field_indices_by_name,
   1,  fescue__call_answer__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -382,6 +382,11 @@
    */
   size_t n_waits_ms;
   uint32_t *waits_ms;
+  /*
+   * if the target latency can be met
+   */
+  size_t n_timely_waits_ms;
+  uint32_t *timely_waits_ms;
   /*
    * request's id header is in the answer
    */
@@ -393,7 +398,7 @@
 };
 #define FESCUE__CALL_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_answer__descriptor) \
-    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , 0, FESCUE__OUTCOME__RAN, 0, 0,NULL, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Fescue__CallCancel
--- a/src/admission.c
+++ b/src/admission.c
@@ -460,26 +460,39 @@
 	return us ? (uint32_t)*us : 0;
 }
 
-void admission_rank_waits(const struct admission *a,
-			  uint32_t waits_ms[RULES_RANK_LEVELS])
+/* Adds the mean service times of the queued calls to the total of each rank. */
+static void add_queued_work(const struct admission *a, uint64_t now_ms,
+			    double any_us[RULES_RANK_LEVELS],
+			    double timely_us[RULES_RANK_LEVELS])
 {
-	double queued_us[RULES_RANK_LEVELS] = { 0 }, ahead_us = 0;
-	double slots = MAX(a->slots, 1);
-
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		for (GList *l = a->queues[i].head; l; l = l->next) {
 			const struct admission_call *call = l->data;
+			double us = mean_service_us(a, call->kind);
 
-			queued_us[rank_index(call)] +=
-				mean_service_us(a, call->kind);
+			any_us[rank_index(call)] += us;
+			if (!would_miss_target(call, us, now_ms))
+				timely_us[rank_index(call)] += us;
 		}
+}
+
+void admission_rank_waits(const struct admission *a, uint64_t now_ms,
+			  struct rank_waits *waits)
+{
+	double any_us[RULES_RANK_LEVELS] = { 0 };
+	double timely_us[RULES_RANK_LEVELS] = { 0 };
+	double slots = MAX(a->slots, 1), ahead_us = 0;
+
+	add_queued_work(a, now_ms, any_us, timely_us);
 	if (a->in_use >= a->slots)
 		ahead_us = a->service_us;
 	for (uint32_t i = 0; i < RULES_RANK_LEVELS; i++) {
-		ahead_us += queued_us[i];
-		waits_ms[i] =
-			(uint32_t)(ahead_us / 1000 /
-				   (slots * available_share(a, i, slots)));
+		double us_per_ms = slots * 1000 * available_share(a, i, slots);
+
+		waits->timely_ms[i] =
+			(uint32_t)((ahead_us + timely_us[i]) / us_per_ms);
+		ahead_us += any_us[i];
+		waits->any_ms[i] = (uint32_t)(ahead_us / us_per_ms);
 	}
 }
 
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -208,7 +208,8 @@
 		b->admission, 0, call_id,
 		may_have_run ? CALL_UNKNOWN : CALL_NOT_RUN,
 		may_have_run ? "the host started again or has forgotten" :
-			       "the request never arrived");
+			       "the request never arrived",
+		backend_now_ms(b));
 
 	log_event(LOG_FAILURE, "asked_of_unknown",
 		  "\"attempt\":\"%" PRIx64 "\",\"barred\":%d", call_id,
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -60,7 +60,8 @@
 {
 	Fescue__Packet *packet = call_answer_create(b->admission, request->kind,
 						    request->call_id,
-						    CALL_NOT_RUN, reason);
+						    CALL_NOT_RUN, reason,
+						    backend_now_ms(b));
 	char quoted[LOG_QUOTED_BYTES];
 
 	backend_increment_counter(b, COUNTER_served_refused);
@@ -186,7 +187,8 @@
 	c->http = NULL;
 	c->answer = call_answer_from_result(b->admission, b->context->headers,
 					    c->request->kind,
-					    c->request->call_id, result);
+					    c->request->call_id, result,
+					    backend_now_ms(b));
 	log_result(c, result);
 	record_backend_result(b, result);
 	if (!result->error)
@@ -269,7 +271,8 @@
 	Fescue__Packet *packet = call_answer_create(
 		b->admission, c->request->kind, c->request->call_id,
 		CALL_NOT_RUN,
-		"the request crashed two backend servers; correct it");
+		"the request crashed two backend servers; correct it",
+		backend_now_ms(b));
 
 	packet->call_answer->final = 1;
 	inbound_call_log(
--- a/src/call_answer.c
+++ b/src/call_answer.c
@@ -4,10 +4,23 @@
 
 #include <string.h>
 
+static void set_waits(Fescue__CallAnswer *answer,
+		      const struct admission *admission, uint64_t now_ms)
+{
+	struct rank_waits waits;
+
+	admission_rank_waits(admission, now_ms, &waits);
+	answer->n_waits_ms = RULES_RANK_LEVELS;
+	answer->waits_ms = g_memdup2(waits.any_ms, sizeof(waits.any_ms));
+	answer->n_timely_waits_ms = RULES_RANK_LEVELS;
+	answer->timely_waits_ms =
+		g_memdup2(waits.timely_ms, sizeof(waits.timely_ms));
+}
+
 Fescue__Packet *call_answer_create(const struct admission *admission,
 				   uint32_t kind, uint64_t call_id,
 				   enum call_outcome outcome,
-				   const char *reason)
+				   const char *reason, uint64_t now_ms)
 {
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_CALL_ANSWER);
@@ -20,9 +33,7 @@
 	answer->queued = admission_queued(admission);
 	answer->slots = admission_slots(admission);
 	answer->service_us = admission_service_us(admission, kind);
-	answer->n_waits_ms = RULES_RANK_LEVELS;
-	answer->waits_ms = g_new(uint32_t, RULES_RANK_LEVELS);
-	admission_rank_waits(admission, answer->waits_ms);
+	set_waits(answer, admission, now_ms);
 	return packet;
 }
 
@@ -96,10 +107,11 @@
 static Fescue__Packet *create_ran_answer(const struct admission *admission,
 					 const struct header_names *names,
 					 uint32_t kind, uint64_t call_id,
-					 const struct http_result *result)
+					 const struct http_result *result,
+					 uint64_t now_ms)
 {
-	Fescue__Packet *packet =
-		call_answer_create(admission, kind, call_id, CALL_RAN, "");
+	Fescue__Packet *packet = call_answer_create(admission, kind, call_id,
+						    CALL_RAN, "", now_ms);
 	Fescue__CallAnswer *answer = packet->call_answer;
 
 	answer->status = (uint32_t)result->status;
@@ -122,26 +134,29 @@
 Fescue__Packet *call_answer_from_result(const struct admission *admission,
 					const struct header_names *headers,
 					uint32_t kind, uint64_t call_id,
-					const struct http_result *result)
+					const struct http_result *result,
+					uint64_t now_ms)
 {
 	Fescue__Packet *packet;
 
 	if (!result->error && backend_server_shed(headers, result)) {
 		packet = call_answer_create(admission, kind, call_id,
 					    CALL_NOT_RUN,
-					    "the backend server shed the call");
+					    "the backend server shed the call",
+					    now_ms);
 		packet->call_answer->arrived = 1;
 		return packet;
 	}
 	if (!result->error && !is_unsigned(headers, result))
 		return create_ran_answer(admission, headers, kind, call_id,
-					 result);
+					 result, now_ms);
 	if (!result->sent)
-		return call_answer_create(
-			admission, kind, call_id, CALL_NOT_RUN,
-			"no connection to the backend server");
+		return call_answer_create(admission, kind, call_id,
+					  CALL_NOT_RUN,
+					  "no connection to the backend server",
+					  now_ms);
 	packet = call_answer_create(admission, kind, call_id, CALL_UNKNOWN,
-				    failure_reason(result));
+				    failure_reason(result), now_ms);
 	packet->call_answer->arrived = 1;
 	packet->call_answer->suspect = result->error == FESCUE_EPARTIAL;
 	return packet;
--- a/src/call_answer.h
+++ b/src/call_answer.h
@@ -18,7 +18,7 @@
 Fescue__Packet *call_answer_create(const struct admission *admission,
 				   uint32_t kind, uint64_t call_id,
 				   enum call_outcome outcome,
-				   const char *reason);
+				   const char *reason, uint64_t now_ms);
 
 /*
  * Create the answer for the HTTP result of a call that was sent to the backend
@@ -28,6 +28,7 @@
 Fescue__Packet *call_answer_from_result(const struct admission *admission,
 					const struct header_names *headers,
 					uint32_t kind, uint64_t call_id,
-					const struct http_result *result);
+					const struct http_result *result,
+					uint64_t now_ms);
 
 #endif
--- a/src/caller.c
+++ b/src/caller.c
@@ -4,17 +4,13 @@
 #include "call_reply.h"
 #include "events.h"
 #include "fescue/error.h"
-#include "fescue/quarantine.h"
 #include "log.h"
 
 #include <inttypes.h>
 #include <string.h>
 
-#define DEPTH_MAX 16
 /* Odd and large, so that the kinds of other routes are avoided. */
 #define DEPTH_KIND_STEP 0x9e3779b1u
-/* Limits the wait for a slot, so that the caller has time left to retry. */
-#define QUEUE_WAIT_DIVISOR 2
 #define HOST_STATS_IDLE_MS 600000
 /* Lets the target host's answer on expiry arrive before the node's own. */
 #define DEADLINE_GRACE_MS 75
@@ -74,14 +70,6 @@
 			 monotonic_clock_us() - c->received_us);
 }
 
-/* While the node is stopping, make the caller open a new connection. */
-static void close_if_stopping(struct caller_table *t,
-			      struct http_exchange *exchange)
-{
-	if (t->settings.is_stopping(t->settings.data))
-		http_exchange_close_after_reply(exchange);
-}
-
 static void finish_answered(struct call *c, const Fescue__CallAnswer *answer)
 {
 	struct caller_table *t = c->table;
@@ -91,7 +79,7 @@
 	call_stats_record_body_size(t->stats,
 				    snapshot_route(c->snapshot, c->route),
 				    answer->body.len);
-	close_if_stopping(t, c->exchange);
+	caller_close_if_stopping(t, c->exchange);
 	call_reply_answer(c->exchange, t->context->headers, answer,
 			  caller_request_header(
 				  &c->request, t->context->headers->request_id),
@@ -99,15 +87,6 @@
 	call_end(c);
 }
 
-/* Equal for all attempts of a caller. */
-static uint64_t call_fingerprint(const struct call *c)
-{
-	const struct caller_request *r = &c->request;
-
-	return quarantine_fingerprint(r->host, r->method, r->path, r->body,
-				      r->body_size);
-}
-
 static void record_refusal(struct call *c)
 {
 	struct caller_table *t = c->table;
@@ -131,7 +110,7 @@
 		record_refusal(c);
 	count_outcome(c, outcome);
 	call_log_failed(c, outcome, status, reason);
-	close_if_stopping(t, c->exchange);
+	caller_close_if_stopping(t, c->exchange);
 	call_reply_failure(c->exchange, t->context->headers, status, outcome,
 			   c->retry_after_ms, reason);
 	call_end(c);
@@ -214,6 +193,7 @@
 		.kilobytes = call_stats_expected_kilobytes(t->stats, route),
 		.remaining_ms = remaining_ms(c, c->deadline_ms),
 		.latency_ms = remaining_ms(c, c->due_ms),
+		.queue_ms = remaining_ms(c, c->queue_until_ms),
 		.now_ms = caller_now_ms(t),
 	};
 	if (c->tried_count == TRIED_HOSTS_MAX)
@@ -222,6 +202,12 @@
 				      &request->service);
 }
 
+static void update_retry_after(struct call *c, uint32_t ms)
+{
+	if (ms && (!c->retry_after_ms || ms < c->retry_after_ms))
+		c->retry_after_ms = ms;
+}
+
 /* Route the call and send it; if no host is left, fail with reason. */
 static void start_attempt(struct call *c, const char *reason)
 {
@@ -229,12 +215,13 @@
 	struct router *router = c->table->router;
 	struct router_request request;
 	struct router_estimate estimate;
-	uint32_t wait_max_ms;
+	uint32_t wait_max_ms, busy_ms = 0;
 	uint64_t host;
 	int logged;
 
 	if (fill_request(c, &request) ||
-	    router_choose(router, &request, &host)) {
+	    router_choose(router, &request, &host, &busy_ms)) {
+		update_retry_after(c, busy_ms);
 		finish_failed(c, c->outcome, failure_status(c->outcome),
 			      reason);
 		return;
@@ -350,10 +337,20 @@
 	}
 }
 
-static void update_retry_after(struct call *c, uint32_t ms)
+/* A host of an older version reports only the waits behind all calls. */
+static void read_waits(const Fescue__CallAnswer *answer,
+		       struct router_load *load)
 {
-	if (ms && (!c->retry_after_ms || ms < c->retry_after_ms))
-		c->retry_after_ms = ms;
+	const uint32_t *timely = answer->waits_ms;
+
+	load->has_waits = answer->n_waits_ms == RULES_RANK_LEVELS;
+	if (!load->has_waits)
+		return;
+	if (answer->n_timely_waits_ms == RULES_RANK_LEVELS)
+		timely = answer->timely_waits_ms;
+	memcpy(load->waits.any_ms, answer->waits_ms,
+	       sizeof(load->waits.any_ms));
+	memcpy(load->waits.timely_ms, timely, sizeof(load->waits.timely_ms));
 }
 
 static void read_load(const struct call *c, const Fescue__CallAnswer *answer,
@@ -366,10 +363,7 @@
 	load->service_time_ratio = call_stats_record_service_time(
 		c->table->stats, snapshot_route(c->snapshot, c->route),
 		answer->service_us);
-	load->has_waits = answer->n_waits_ms == RULES_RANK_LEVELS;
-	if (load->has_waits)
-		memcpy(load->waits_ms, answer->waits_ms,
-		       sizeof(load->waits_ms));
+	read_waits(answer, load);
 }
 
 /* Record the time of the attempt that was not spent at the host. */
@@ -422,178 +416,16 @@
 	}
 }
 
-/* Selects by the request's id, or at random, in proportion to the weights. */
-static uint32_t select_target(struct caller_table *t,
-			      const struct route_rule *rule,
-			      const struct caller_request *request)
-{
-	const char *id =
-		caller_request_header(request, t->context->headers->request_id);
-	uint32_t offset;
-
-	if (rule->target_count == 1)
-		return 0;
-	if (id && *id)
-		offset = route_rule_request_offset(rule, id, strlen(id));
-	else
-		offset = (uint32_t)g_rand_int_range(
-			t->random, 0, (gint32)route_rule_total_weight(rule));
-	/* Operators set the shares: a busy target does not overflow. */
-	return route_rule_target_at(rule, offset);
-}
-
-/* caller_ms: time until the caller gives up; 0: it does not say */
-static void set_times(struct call *c, uint32_t caller_ms)
+void call_start(struct call *c)
 {
 	struct caller_table *t = c->table;
-	uint32_t wait_ms = c->call_policy.deadline_ms;
-
-	c->received_ms = caller_now_ms(t);
-	c->first_received_ms = c->received_ms;
-	if (caller_ms) {
-		wait_ms = MIN(wait_ms, caller_ms);
-		c->caller_deadline_ms = c->received_ms + caller_ms;
-		c->first_received_ms =
-			refusals_take(t->refusals, call_fingerprint(c),
-				      c->caller_deadline_ms, c->received_ms);
-	}
-	c->deadline_ms = c->received_ms + wait_ms;
-	c->due_ms = c->first_received_ms + c->call_policy.latency_ms;
-	c->queue_until_ms = c->received_ms + wait_ms / QUEUE_WAIT_DIVISOR;
-}
-
-static struct call *call_create(struct caller_table *t,
-				struct http_exchange *exchange,
-				struct snapshot *snapshot,
-				struct route_handle route, uint32_t depth)
-{
-	struct call *c = g_new0(struct call, 1);
-	const struct route_rule *rule = snapshot_route(snapshot, route);
-
-	c->table = t;
-	c->exchange = exchange;
-	c->snapshot = snapshot_ref(snapshot);
-	c->route = route;
-	c->depth = depth;
-	c->call_policy = rule->call_policy;
-	caller_request_init(&c->request, exchange, t->context->headers,
-			    t->settings.service, depth);
-	c->target = select_target(t, rule, &c->request);
-	c->budget =
-		retry_budgets_get(t->budgets, rule->targets[c->target].service);
-	set_times(c, http_exchange_header_number(
-			     exchange, t->context->headers->deadline, 0));
-	c->received_us = monotonic_clock_us();
-	c->outcome = CALL_NOT_RUN;
+
 	uv_timer_init(t->context->loop, &c->timer);
 	c->timer.data = c;
 	uv_timer_start(&c->timer, on_deadline,
 		       c->deadline_ms - c->received_ms + DEADLINE_GRACE_MS, 0);
 	t->in_flight++;
-	return c;
-}
-
-static void copy_request_id(const struct caller_table *t,
-			    const struct http_exchange *exchange,
-			    char id[LOG_QUOTED_BYTES])
-{
-	struct http_text text = { NULL, 0 };
-
-	if (t->context->headers->request_id)
-		text = http_exchange_header(exchange,
-					    t->context->headers->request_id);
-	g_snprintf(id, LOG_QUOTED_BYTES, "%.*s", (int)MIN(text.size, 100),
-		   text.bytes ? text.bytes : "");
-}
-
-static void refuse(struct caller_table *t, struct http_exchange *exchange,
-		   int status, const char *reason)
-{
-	char id[LOG_QUOTED_BYTES];
-
-	caller_count(t, COUNTER_calls_not_run);
-	copy_request_id(t, exchange, id);
-	call_log_refused(id, status, reason);
-	close_if_stopping(t, exchange);
-	call_reply_failure(exchange, t->context->headers, status, CALL_NOT_RUN,
-			   0, reason);
-}
-
-/* The caller left before its request was read. */
-static void drop_abandoned(struct caller_table *t,
-			   struct http_exchange *exchange)
-{
-	char id[LOG_QUOTED_BYTES], quoted[LOG_QUOTED_BYTES];
-
-	caller_count(t, COUNTER_calls_canceled);
-	copy_request_id(t, exchange, id);
-	log_event(LOG_FAILURE, "caller_left", "\"id\":%s,\"attempts\":0",
-		  log_quote(id, quoted));
-	http_exchange_abort(exchange);
-}
-
-/* Look up the request's route; if there is none, answer the exchange. */
-static int find_route(struct caller_table *t, struct snapshot *snapshot,
-		      struct http_exchange *exchange,
-		      struct route_handle *route)
-{
-	struct http_text method = http_exchange_method(exchange);
-	struct http_text host = http_exchange_host(exchange);
-	struct http_text path = http_exchange_path(exchange);
-	const struct route_rule *rule;
-	enum route_lookup found = snapshot_find_route(snapshot, method.bytes,
-						      method.size, host.bytes,
-						      host.size, path.bytes,
-						      path.size, route, &rule);
-
-	switch (found) {
-	case ROUTE_FOUND:
-		return FESCUE_OK;
-	case ROUTE_WITHDRAWN:
-		caller_count(t, COUNTER_route_withdrawn);
-		refuse(t, exchange, 503,
-		       "the service has no backend server now");
-		break;
-	case ROUTE_UNKNOWN:
-		caller_count(t, COUNTER_no_route);
-		refuse(t, exchange, 404, "no rule matches; add a route line");
-		break;
-	}
-	return FESCUE_ENOTFOUND;
-}
-
-static uint32_t read_depth(const struct caller_table *t,
-			   const struct http_exchange *exchange)
-{
-	const char *name = t->context->headers->depth;
-
-	return name ? http_exchange_header_number(exchange, name, 0) : 0;
-}
-
-void caller_table_handle_request(void *data, struct http_exchange *exchange)
-{
-	struct caller_table *t = data;
-	uint32_t depth = read_depth(t, exchange);
-	const char *reason = "";
-	struct snapshot *snapshot =
-		t->settings.snapshot(t->settings.data, &reason);
-	struct route_handle route;
-	struct call *c;
-
-	caller_count(t, COUNTER_calls_received);
-	if (http_exchange_caller_left(exchange)) {
-		drop_abandoned(t, exchange);
-		return;
-	}
-	if (!snapshot || depth >= DEPTH_MAX) {
-		refuse(t, exchange, 503,
-		       depth >= DEPTH_MAX ? "calls nest too deep" : reason);
-		return;
-	}
-	if (find_route(t, snapshot, exchange, &route))
-		return;
-	c = call_create(t, exchange, snapshot, route, depth);
-	http_exchange_on_close(exchange, on_disconnected, c);
+	http_exchange_on_close(c->exchange, on_disconnected, c);
 	retry_budget_deposit(c->budget);
 	start_attempt(c, "every backend server is busy or excluded");
 }
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -1,6 +1,6 @@
 /*
  * Internal state of the entry node's calls, shared by caller.c,
- * caller_recovery.c and call_log.c.
+ * caller_arrival.c, caller_recovery.c and call_log.c.
  */
 #ifndef FESCUE_CALLER_STATE_H
 #define FESCUE_CALLER_STATE_H
@@ -89,6 +89,19 @@
 	return c->tried[c->tried_count - 1];
 }
 
+/* Hash of what is equal in all attempts of one caller. */
+uint64_t call_fingerprint(const struct call *call);
+
+/* While the node is stopping, make the caller open a new connection. */
+void caller_close_if_stopping(struct caller_table *callers,
+			      struct http_exchange *exchange);
+
+/*
+ * Start the deadline and the first attempt of a call that has just arrived. The
+ * call ends by itself.
+ */
+void call_start(struct call *call);
+
 /*
  * End the current attempt, if any, and report its result to the router. load
  * is the host's load report, or NULL.
--- a/src/router.c
+++ b/src/router.c
@@ -195,6 +195,18 @@
 		       a;
 }
 
+/* Reported wait of a call of this rank that can, or can't, be on time. */
+static uint32_t reported_wait(const struct host_stats *s,
+			      const struct router_request *req,
+			      double service_ms)
+{
+	uint32_t rank = MIN(req->rank, RULES_RANK_LEVELS - 1);
+	int timely = req->latency_ms >= service_ms * SERVICE_TIME_MARGIN_FACTOR;
+
+	return timely ? s->load.waits.timely_ms[rank] :
+			s->load.waits.any_ms[rank];
+}
+
 /*
  * Expected queueing time: the reported wait of the call's rank plus the work
  * sent since the report, at most wait_by_load_ms. Without reported waits it is
@@ -206,13 +218,12 @@
 {
 	double age = (double)(req->now_ms - s->load_reported_ms);
 	double factor = exp2(-age / r->settings.load_half_life_ms);
-	uint32_t rank = MIN(req->rank, RULES_RANK_LEVELS - 1);
 	double slots = MAX(s->load.slots, 1);
 	double reported_ms, sent_ms;
 
 	if (wait_by_load_ms <= 0 || !s->load.has_waits)
 		return MAX(wait_by_load_ms, 0);
-	reported_ms = s->load.waits_ms[rank] * factor;
+	reported_ms = reported_wait(s, req, service_ms) * factor;
 	sent_ms = service_ms * s->sent_since_report / slots;
 	return MIN(reported_ms + sent_ms, wait_by_load_ms);
 }
@@ -319,6 +330,33 @@
 	return chosen;
 }
 
+/*
+ * Removes the candidates of other domains that would refuse the call because it
+ * would not start in time: an offer that is refused there costs traffic between
+ * domains. Returns the least expected wait of these, in ms.
+ */
+static double drop_busy_elsewhere(struct router *r, GArray *candidates,
+				  const struct router_request *req)
+{
+	double least_ms = HUGE_VAL;
+	guint kept = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		struct candidate c = *get_candidate(candidates, i);
+		double service_ms;
+		double wait_ms =
+			expected_wait_and_service(r, &c, req, &service_ms);
+
+		if (!is_own_domain(&c, req) && c.stats->load.has_waits &&
+		    wait_ms > req->queue_ms)
+			least_ms = MIN(least_ms, wait_ms);
+		else
+			g_array_index(candidates, struct candidate, kept++) = c;
+	}
+	g_array_set_size(candidates, kept);
+	return least_ms;
+}
+
 static const struct candidate *pick(struct router *r, GArray *candidates,
 				    const struct router_request *req)
 {
@@ -341,19 +379,24 @@
 }
 
 int router_choose(struct router *r, const struct router_request *req,
-		  uint64_t *host)
+		  uint64_t *host, uint32_t *busy_ms)
 {
 	GArray *candidates = find_candidates(r, req);
-	const struct candidate *chosen;
-
-	if (!candidates->len) {
-		g_array_free(candidates, TRUE);
-		return FESCUE_ENOTFOUND;
+	double least_ms = HUGE_VAL;
+	int error = FESCUE_OK;
+
+	if (r->settings.policy == ROUTER_COST)
+		least_ms = drop_busy_elsewhere(r, candidates, req);
+	if (candidates->len) {
+		*host = pick(r, candidates, req)->host->host;
+	} else if (isinf(least_ms)) {
+		error = FESCUE_ENOTFOUND;
+	} else {
+		*busy_ms = (uint32_t)ceil(least_ms);
+		error = FESCUE_EUNAVAILABLE;
 	}
-	chosen = pick(r, candidates, req);
-	*host = chosen->host->host;
 	g_array_free(candidates, TRUE);
-	return FESCUE_OK;
+	return error;
 }
 
 void router_explain(struct router *r, const struct router_request *req,
--- a/test/test_placing.cc
+++ b/test/test_placing.cc
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "fescue/admission.h"
+#include "fescue/refusals.h"
 #include "fescue/router.h"
 }
 
@@ -41,12 +42,18 @@
 	uint32_t latency_ms = 200;
 	uint32_t deadline_ms = 800;
 	double kilobytes = 5.5;
+	bool callers_return = false; /* once, after a third of their time */
 	uint32_t run_ms = 20000;
 };
 
 struct call_state {
 	size_t entry; /* index of the host where the call entered */
-	uint64_t arrived_ms;
+	uint64_t arrived_ms; /* of the first attempt */
+	/* Begin of the target latency, as far as the entry node knows. */
+	uint64_t received_ms;
+	uint64_t queue_until_ms; /* refused if it has no slot by then */
+	uint64_t fingerprint;
+	bool returned;
 	std::vector<uint64_t> tried;
 	double service_ms;
 };
@@ -88,6 +95,7 @@
 			settings.cross_domain_ms_per_kb = 150;
 			routers.push_back(
 				router_create(&settings, seed + (uint32_t)i));
+			refusals.push_back(refusals_create());
 			admissions.push_back(
 				admission_create(ADMISSION_CLASSES));
 			admission_set_slots(admissions.back(), config.slots);
@@ -101,6 +109,8 @@
 			router_destroy(r);
 		for (struct admission *a : admissions)
 			admission_destroy(a);
+		for (struct refusals *f : refusals)
+			refusals_destroy(f);
 		snapshot_unref(snapshot);
 	}
 	/* Runs all events up to end_ms() and returns the counts of calls. */
@@ -166,10 +176,53 @@
 							  d.hosts - 1)(random);
 		c->entry = first + i;
 		c->arrived_ms = now;
+		c->fingerprint = ++last_fingerprint;
 		c->service_ms = config.service_ms * spread(random);
 		counts.calls++;
+		receive(c);
+	}
+	/* The entry node receives a first or second attempt of a caller. */
+	void receive(const call &c)
+	{
+		c->tried.clear();
+		c->received_ms = refusals_take(refusals[c->entry],
+					       c->fingerprint, deadline_ms(c),
+					       now);
+		c->queue_until_ms =
+			now + remaining_ms(c, config.deadline_ms) / 2;
 		attempt(c);
 	}
+	void refuse(const call &c)
+	{
+		uint64_t left_ms = remaining_ms(c, config.deadline_ms);
+
+		if (c->returned || !config.callers_return) {
+			counts.refused++;
+			return;
+		}
+		refusals_add(refusals[c->entry], c->fingerprint, deadline_ms(c),
+			     c->received_ms, now);
+		c->returned = true;
+		schedule(left_ms / 3, [=] { receive(c); });
+	}
+	uint64_t deadline_ms(const call &c) const
+	{
+		return c->arrived_ms + config.deadline_ms;
+	}
+	uint32_t queue_ms(const call &c) const
+	{
+		return c->queue_until_ms > now ?
+			       (uint32_t)(c->queue_until_ms - now) :
+			       0;
+	}
+	uint32_t timely_ms(const call &c) const
+	{
+		uint64_t age = now - c->received_ms;
+
+		return age < config.latency_ms ?
+			       (uint32_t)(config.latency_ms - age) :
+			       0;
+	}
 	uint32_t remaining_ms(const call &c, uint32_t limit_ms) const
 	{
 		uint64_t age = now - c->arrived_ms;
@@ -187,6 +240,7 @@
 	{
 		struct router_request q = {};
 		uint64_t host;
+		uint32_t busy_ms;
 
 		q.snapshot = snapshot;
 		q.service = service;
@@ -197,16 +251,16 @@
 		q.service_ms = config.service_ms;
 		q.kilobytes = config.kilobytes;
 		q.remaining_ms = remaining_ms(c, config.deadline_ms);
-		q.latency_ms = remaining_ms(c, config.latency_ms);
+		q.latency_ms = timely_ms(c);
+		q.queue_ms = queue_ms(c);
 		q.now_ms = now;
 		if (c->tried.size() > REROUTES_MAX ||
-		    router_choose(routers[c->entry], &q, &host)) {
-			counts.refused++;
+		    router_choose(routers[c->entry], &q, &host, &busy_ms)) {
+			refuse(c);
 			return;
 		}
-		uint32_t wait_ms = router_wait_max(
-			routers[c->entry], &q, host,
-			remaining_ms(c, config.deadline_ms / 2));
+		uint32_t wait_ms = router_wait_max(routers[c->entry], &q, host,
+						   q.queue_ms);
 
 		c->tried.push_back(host);
 		router_started(routers[c->entry], host, now);
@@ -218,7 +272,7 @@
 	{
 		struct admission_call a = {};
 		enum admission_reason reason;
-		uint32_t latency = remaining_ms(c, config.latency_ms);
+		uint32_t latency = timely_ms(c);
 
 		a.ticket = ++tickets;
 		a.rank = 2;
@@ -251,7 +305,7 @@
 		report.slots = admission_slots(a);
 		report.service_time_ratio = slowdown(host);
 		report.has_waits = 1;
-		admission_rank_waits(a, report.waits_ms);
+		admission_rank_waits(a, now, &report.waits);
 		return report;
 	}
 	/* Reroutes a call that the host refused. */
@@ -325,10 +379,12 @@
 	struct service_handle service;
 	std::vector<struct router *> routers;
 	std::vector<struct admission *> admissions;
+	std::vector<struct refusals *> refusals;
 	std::priority_queue<event> events;
 	std::map<std::string, double> next_call_ms;
 	std::map<uint64_t, call> offered_calls; /* by ticket, until started */
 	uint64_t now = begin_ms, last_sequence = 0, tickets = 0;
+	uint64_t last_fingerprint = 0;
 	call_counts counts;
 };
 
@@ -390,6 +446,21 @@
 	EXPECT_GT(c.share(c.met_target), 0.9 * possible);
 }
 
+/*
+ * As above, with callers that come back once after a refusal: they can't be on
+ * time any more and must not be served before those that can.
+ */
+TEST(placing, returning_callers_do_not_delay_new_ones)
+{
+	workload w({ { "x", 2, 360 }, { "y", 2, 360 }, { "z", 2, 360 } });
+
+	w.callers_return = true;
+	call_counts c = simulate(w);
+	double possible = 6 * 9 / (1080 * 65 / 1000.0);
+
+	EXPECT_GT(c.share(c.met_target), 0.9 * possible);
+}
+
 /*
  * At 1.3 times the capacity of hosts of unequal speed. The target latency is
  * little more than the mean service time of the slowest hosts.
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -56,8 +56,9 @@
 	{
 		struct router_request req = request(domain, now_ms, excluded);
 		uint64_t host = 0;
+		uint32_t busy_ms;
 
-		return router_choose(router, &req, &host) ? 0 : host;
+		return router_choose(router, &req, &host, &busy_ms) ? 0 : host;
 	}
 	uint32_t wait_max(uint64_t host, uint64_t now_ms)
 	{
@@ -80,11 +81,13 @@
 		req.service_ms = 100;
 		req.remaining_ms = remaining_ms;
 		req.latency_ms = latency_ms;
+		req.queue_ms = queue_ms;
 		req.now_ms = now_ms;
 		return req;
 	}
 	const std::vector<uint64_t> none;
 	uint32_t latency_ms = 0;
+	uint32_t queue_ms = 5000;
 	double kilobytes = 0;
 	uint32_t rank = 0;
 	uint32_t remaining_ms = 10000;
@@ -335,8 +338,8 @@
 	struct router_load busy = load(4, 30, 4, 1);
 
 	busy.has_waits = 1;
-	busy.waits_ms[1] = 10;
-	busy.waits_ms[2] = 900;
+	busy.waits.any_ms[1] = 10;
+	busy.waits.any_ms[2] = 900;
 	f.answer(1, busy, 1000);
 	f.answer(2, load(0, 0, 4, 1), 1000);
 	f.kilobytes = 8;
@@ -346,6 +349,42 @@
 	EXPECT_EQ(f.choose("x", 1000), 2u);
 }
 
+/*
+ * A call that its own domain refused is not offered to hosts of other domains
+ * that would refuse it too, until their load reports are out of date.
+ */
+TEST(router, host_of_another_domain_that_would_refuse_is_left_out)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
+	struct router_load busy = load(4, 30, 4, 1);
+	struct router_request req = f.request("x", 1000, { 1 });
+	uint64_t host = 0;
+	uint32_t busy_ms = 0;
+
+	busy.has_waits = 1;
+	busy.waits.any_ms[0] = 600;
+	f.answer(2, busy, 1000);
+	f.answer(1, busy, 1000);
+	f.queue_ms = 500;
+	EXPECT_EQ(f.choose("x", 1000), 1u);
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 0u);
+	EXPECT_EQ(f.choose("x", 2000, { 1 }), 2u);
+	f.queue_ms = 700;
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 2u);
+	/* A call that can be on time overtakes those that can't. */
+	f.queue_ms = 500;
+	f.latency_ms = 400;
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 2u);
+
+	const uint64_t tried[] = { 1 };
+
+	req.excluded = tried;
+	req.queue_ms = 500;
+	EXPECT_EQ(router_choose(f.router, &req, &host, &busy_ms),
+		  FESCUE_EUNAVAILABLE);
+	EXPECT_EQ(busy_ms, 600u);
+}
+
 TEST(router, unreachable_host_is_ejected_at_once)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
