--- a/test/test_admission.cc
+++ b/test/test_admission.cc
@@ -12,17 +12,6 @@
 namespace
 {
 
-call.ticket = ticket;
-call.call_class = c;
-call.deadline_ms = deadline;
-call.queue_until_ms = queue_until ? queue_until : deadline;
-call.queue_limit = queue_limit;
-call.reserve_percent = 50;
-return admission_offer(admission, &call, now, &reason);
-}
-}
-;
-
 TEST(admission, background_calls_leave_the_reserve_free)
 {
 	fixture f(4);
