admission: late calls get the slots that timely ones leave

Hypothesis: a call that missed its target latency waits for half of its time in a queue in which timely calls overtake it, and is refused then; its expected wait counts only the calls queued ahead, not those still to come.

Change: granted work is kept by rank and by timely or late, so that the expected wait of a late call grows with the work that timely calls of its rank bring. Late calls without a prospect are refused on arrival, and the load reports say so to the entry nodes.

--- a/src/admission.c
+++ b/src/admission.c
@@ -13,6 +13,7 @@
 #define LATE_ANSWER_VALUE 0.5 /* an answer in time has the value 1 */
 #define COST_PRECEDENCE_FACTOR 2.0
 #define BACKGROUND_GRANT_PERIOD 10
+#define PRECEDENCE_LEVELS (RULES_RANK_LEVELS * 2)
 #define DEPTH_LEVELS 16 /* greater depths share the last level */
 /* The reserve for a depth ends when no call of it has come for this long. */
 #define DEPTH_RESERVE_TIMEOUT_MS 10000
@@ -25,7 +26,8 @@
 	int draining;
 	double service_us; /* moving average of the service time of all calls */
 	GHashTable *kind_means_us; /* kind -> double, moving average */
-	double granted_work_us[RULES_RANK_LEVELS]; /* by rank, decaying */
+	/* Decaying, by precedence level. */
+	double granted_work_us[PRECEDENCE_LEVELS];
 	uint64_t granted_work_updated_ms;
 	uint32_t urgent_grants; /* since the last queued background call */
 	uint64_t depth_end_ms[DEPTH_LEVELS]; /* end of the depth's reserve */
@@ -142,6 +144,29 @@
 	return MIN(call->rank, RULES_RANK_LEVELS - 1);
 }
 
+/* Would the call, of mean service time us, likely miss its target latency? */
+static int would_miss_target(const struct admission_call *call, double us,
+			     uint64_t now_ms)
+{
+	double ms = us / 1000 * SERVICE_TIME_MARGIN_FACTOR;
+
+	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
+}
+
+/*
+ * Calls of a lower precedence level are served first: those of a lower rank,
+ * and within a rank those that can meet their target latency.
+ */
+static uint32_t precedence_level(const struct admission *a,
+				 const struct admission_call *call,
+				 uint64_t now_ms)
+{
+	double us = mean_service_us(a, call->kind);
+
+	return rank_index(call) * 2 +
+	       (uint32_t)would_miss_target(call, us, now_ms);
+}
+
 static void decay_granted_work(struct admission *a, uint64_t now_ms)
 {
 	double age = (double)(now_ms - a->granted_work_updated_ms);
@@ -149,7 +174,7 @@
 
 	if (now_ms <= a->granted_work_updated_ms)
 		return;
-	for (int i = 0; i < RULES_RANK_LEVELS; i++)
+	for (int i = 0; i < PRECEDENCE_LEVELS; i++)
 		a->granted_work_us[i] *= factor;
 	a->granted_work_updated_ms = now_ms;
 }
@@ -160,31 +185,23 @@
 	a->in_use++;
 	a->in_use_by_depth[depth_index(call->depth)]++;
 	decay_granted_work(a, now_ms);
-	a->granted_work_us[rank_index(call)] += mean_service_us(a, call->kind);
+	a->granted_work_us[precedence_level(a, call, now_ms)] +=
+		mean_service_us(a, call->kind);
 }
 
-/* Share of the slots that recent work of lower ranks leaves to a rank. */
-static double available_share(const struct admission *a, uint32_t rank,
+/* Share of the slots that recent work of lower levels leaves to a level. */
+static double available_share(const struct admission *a, uint32_t level,
 			      double limit)
 {
 	/* Granting w us of work each ms converges to w * half-life / ln 2. */
 	double full_us = limit * 1000 * GRANTED_WORK_HALF_LIFE_MS / M_LN2;
 	double lower_us = 0;
 
-	for (uint32_t i = 0; i < rank; i++)
+	for (uint32_t i = 0; i < level; i++)
 		lower_us += a->granted_work_us[i];
 	return MAX(1 - lower_us / full_us, AVAILABLE_SHARE_MIN);
 }
 
-/* Would the call, of mean service time us, likely miss its target latency? */
-static int would_miss_target(const struct admission_call *call, double us,
-			     uint64_t now_ms)
-{
-	double ms = us / 1000 * SERVICE_TIME_MARGIN_FACTOR;
-
-	return call->due_ms && now_ms + (uint64_t)ms > call->due_ms;
-}
-
 /*
  * Orders two queued calls of one rank and depth; returns 1 if x goes first.
  * Much shorter calls go first, because a slot serves more of them and because
@@ -240,7 +257,8 @@
 						   ->kind);
 	return (uint64_t)(ahead_us / 1000 /
 			  (limit *
-			   available_share(a, rank_index(call), limit)));
+			   available_share(a, precedence_level(a, call, now_ms),
+					   limit)));
 }
 
 static enum admission_reason refusal_reason(const struct admission *a,
@@ -487,12 +505,14 @@
 	if (a->in_use >= a->slots)
 		ahead_us = a->service_us;
 	for (uint32_t i = 0; i < RULES_RANK_LEVELS; i++) {
-		double us_per_ms = slots * 1000 * available_share(a, i, slots);
-
 		waits->timely_ms[i] =
-			(uint32_t)((ahead_us + timely_us[i]) / us_per_ms);
+			(uint32_t)((ahead_us + timely_us[i]) / 1000 /
+				   (slots * available_share(a, i * 2, slots)));
 		ahead_us += any_us[i];
-		waits->any_ms[i] = (uint32_t)(ahead_us / us_per_ms);
+		waits->any_ms[i] =
+			(uint32_t)(ahead_us / 1000 /
+				   (slots *
+				    available_share(a, i * 2 + 1, slots)));
 	}
 }
 
