router: offer a call that cannot wait only where a slot is likely free

The router took hosts whose load report was 0.7 s old for free. A host without a backend server refused 450 times and was asked again.

Change: a call whose queue time has ended goes only to a host that has a free slot by its own recent report, or else by the recent reports of the hosts of its side; without one it is refused at once. A host that refuses and reports no slots is ejected for a second.

--- a/fescue/router.h
+++ b/fescue/router.h
@@ -51,7 +51,8 @@
 /* How an attempt at a host ended. */
 enum router_result {
 	ROUTER_ANSWERED,
-	ROUTER_REFUSED, /* a failure if the host reports free slots */
+	/* A failure if the host reports free slots; without slots: ejects it. */
+	ROUTER_REFUSED,
 	ROUTER_FAILED, /* crash, timeout or server error */
 	ROUTER_UNREACHABLE, /* no connection, or it broke; ejects the host */
 	ROUTER_CANCELED, /* not counted for or against the host */
@@ -101,7 +102,7 @@
 	double kilobytes; /* expected size of request and answer */
 	uint32_t remaining_ms; /* until the deadline; no policy uses it */
 	uint32_t latency_ms; /* until the target latency; 0: missed */
-	uint32_t queue_ms; /* for which the call may be queued */
+	uint32_t queue_ms; /* left of the time that it may be queued */
 	uint64_t now_ms;
 };
 
@@ -109,10 +110,11 @@
  * Selects a host of the service and stores its address key in host. Returns
  * FESCUE_OK, or FESCUE_ENOTFOUND if no host is left.
  *
- * A host of another domain is left out if its load report tells that the call
- * would not start before its queue time ends: it would refuse the call. If only
- * such hosts are left, returns FESCUE_EUNAVAILABLE and stores in *busy_ms the
- * time in ms after which the first of them expects to have room.
+ * Hosts that would probably refuse the call are left out: those without a free
+ * slot if the call's queue time has ended, else those of other domains where it
+ * would not start before that. If only such hosts are left, returns
+ * FESCUE_EUNAVAILABLE and stores in *busy_ms the time in ms after which the
+ * first of them expects to have room.
  *
  * The cost of crossing to another failure domain affects the order of hosts
  * only: if just hosts of other domains are left, one of them is chosen.
--- a/src/router.c
+++ b/src/router.c
@@ -331,24 +331,88 @@
 }
 
 /*
- * Removes the candidates of other domains that would refuse the call because it
- * would not start in time: an offer that is refused there costs traffic between
- * domains. Returns the least expected wait of these, in ms.
+ * Estimates how likely a host has a free slot, among the hosts of the own
+ * domain (own is 1) or of all others (0): the share of load reports with a free
+ * slot, weighted by age. The prior assumes a free slot, so that a group without
+ * recent reports is tried again.
  */
-static double drop_busy_elsewhere(struct router *r, GArray *candidates,
-				  const struct router_request *req)
+static double free_slot_probability(const struct router *r,
+				    const GArray *candidates,
+				    const struct router_request *req,
+				    uint64_t except, int own)
 {
-	double least_ms = HUGE_VAL;
+	double free_weight = FREE_SLOT_PRIOR_WEIGHT,
+	       total_weight = FREE_SLOT_PRIOR_WEIGHT;
+	int any = 0;
+
+	for (guint i = 0; i < candidates->len; i++) {
+		const struct candidate *c = get_candidate(candidates, i);
+		const struct host_stats *s = c->stats;
+		double age = (double)(req->now_ms - s->load_reported_ms);
+		double weight = exp2(-age / r->settings.load_half_life_ms);
+
+		if (c->host->host == except || is_own_domain(c, req) != own)
+			continue;
+		any = 1;
+		if (!s->load.slots)
+			continue;
+		total_weight += weight;
+		if (s->load.in_use + s->load.queued + s->sent_since_report <
+		    s->load.slots)
+			free_weight += weight;
+	}
+	return any ? free_weight / total_weight : 0;
+}
+
+/*
+ * Returns 1 if the host probably has a free slot: by its own load report while
+ * that is recent, then by those of the other hosts of its group.
+ */
+static int free_slot_is_likely(const struct router *r,
+			       const struct candidate *c,
+			       const struct router_request *req,
+			       double group_probability)
+{
+	const struct host_stats *s = c->stats;
+	double age = (double)(req->now_ms - s->load_reported_ms);
+	double weight = exp2(-age / r->settings.load_half_life_ms);
+	int is_free = s->load.in_use + s->load.queued + s->sent_since_report <
+		      s->load.slots;
+
+	return weight * is_free + (1 - weight) * group_probability >
+	       FREE_SLOT_PROBABILITY_MIN;
+}
+
+/*
+ * Removes the candidates that would probably refuse the call. One that can't be
+ * queued any more needs a free slot. One that can is refused if it would not
+ * start in time, which counts in other domains only: an offer that is refused
+ * there costs traffic between domains. Returns the least expected wait of the
+ * removed hosts, in ms.
+ */
+static double drop_refusing(struct router *r, GArray *candidates,
+			    const struct router_request *req)
+{
+	double probability[2], least_ms = HUGE_VAL;
 	guint kept = 0;
 
+	for (int own = 0; own < 2; own++)
+		probability[own] =
+			free_slot_probability(r, candidates, req, 0, own);
 	for (guint i = 0; i < candidates->len; i++) {
 		struct candidate c = *get_candidate(candidates, i);
-		double service_ms;
-		double wait_ms =
-			expected_wait_and_service(r, &c, req, &service_ms);
+		int own = is_own_domain(&c, req);
+		double service_ms, wait_ms;
+		int refuses;
 
-		if (!is_own_domain(&c, req) && c.stats->load.has_waits &&
-		    wait_ms > req->queue_ms)
+		wait_ms = expected_wait_and_service(r, &c, req, &service_ms);
+		if (!req->queue_ms)
+			refuses = !free_slot_is_likely(r, &c, req,
+						       probability[own]);
+		else
+			refuses = !own && c.stats->load.has_waits &&
+				  wait_ms > req->queue_ms;
+		if (refuses)
 			least_ms = MIN(least_ms, wait_ms);
 		else
 			g_array_index(candidates, struct candidate, kept++) = c;
@@ -386,7 +450,7 @@
 	int error = FESCUE_OK;
 
 	if (r->settings.policy == ROUTER_COST)
-		least_ms = drop_busy_elsewhere(r, candidates, req);
+		least_ms = drop_refusing(r, candidates, req);
 	if (candidates->len) {
 		*host = pick(r, candidates, req)->host->host;
 	} else if (isinf(least_ms)) {
@@ -424,40 +488,6 @@
 	g_array_free(candidates, TRUE);
 }
 
-/*
- * Estimates how likely a host has a free slot, among the hosts of the own
- * domain (own is 1) or of all others (0): the share of load reports with a free
- * slot, weighted by age. The prior assumes a free slot, so that a group without
- * recent reports is tried again.
- */
-static double free_slot_probability(const struct router *r,
-				    const GArray *candidates,
-				    const struct router_request *req,
-				    uint64_t except, int own)
-{
-	double free_weight = FREE_SLOT_PRIOR_WEIGHT,
-	       total_weight = FREE_SLOT_PRIOR_WEIGHT;
-	int any = 0;
-
-	for (guint i = 0; i < candidates->len; i++) {
-		const struct candidate *c = get_candidate(candidates, i);
-		const struct host_stats *s = c->stats;
-		double age = (double)(req->now_ms - s->load_reported_ms);
-		double weight = exp2(-age / r->settings.load_half_life_ms);
-
-		if (c->host->host == except || is_own_domain(c, req) != own)
-			continue;
-		any = 1;
-		if (!s->load.slots)
-			continue;
-		total_weight += weight;
-		if (s->load.in_use + s->load.queued + s->sent_since_report <
-		    s->load.slots)
-			free_weight += weight;
-	}
-	return any ? free_weight / total_weight : 0;
-}
-
 /* Returns 1 if a host other than this one probably has a free slot. */
 static int other_host_has_free_slot(struct router *r,
 				    const struct router_request *req,
--- a/src/router_host_stats.c
+++ b/src/router_host_stats.c
@@ -177,7 +177,9 @@
 			eject(r, s, now_ms);
 		break;
 	case ROUTER_REFUSED:
-		if (refused_with_free_slot(load))
+		if (load && !load->slots)
+			eject(r, s, now_ms);
+		else if (refused_with_free_slot(load))
 			record_failure(r, s, now_ms);
 		break;
 	case ROUTER_CANCELED:
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -1,8 +1,7 @@
-#include "support.h"
+#include "router_support.h"
 
 extern "C" {
 #include "fescue/error.h"
-#include "fescue/router.h"
 }
 
 #include <map>
@@ -10,102 +9,6 @@
 namespace
 {
 
-const char rules_text[] = "service a # A\nroute GET */ a # A\n";
-
-struct router_load load(uint32_t in_use, uint32_t queued, uint32_t slots,
-			double service_time_ratio = 0)
-{
-	struct router_load l = {};
-
-	l.in_use = in_use;
-	l.queued = queued;
-	l.slots = slots;
-	l.service_time_ratio = service_time_ratio;
-	return l;
-}
-
-struct fixture {
-	struct snapshot *snapshot;
-	struct service_handle service;
-	struct router *router;
-
-	explicit fixture(const std::vector<snapshot_host> &hosts,
-			 enum router_policy policy = ROUTER_TWO_CHOICES)
-	{
-		struct router_settings settings = router_defaults;
-		struct diagnostic bad;
-		struct route_handle route;
-		const struct route_rule *rule;
-		size_t count;
-
-		settings.policy = policy;
-		snapshot_create(1, rules_text, strlen(rules_text), hosts.data(),
-				hosts.size(), &snapshot, &bad, 1, &count);
-		snapshot_find_route(snapshot, "GET", 3, "", 0, "/", 1, &route,
-				    &rule);
-		snapshot_route_service(snapshot, route, 0, &service);
-		router = router_create(&settings, 3);
-	}
-	~fixture()
-	{
-		router_destroy(router);
-		snapshot_unref(snapshot);
-	}
-	uint64_t choose(const char *domain, uint64_t now_ms,
-			const std::vector<uint64_t> &excluded = {})
-	{
-		struct router_request req = request(domain, now_ms, excluded);
-		uint64_t host = 0;
-		uint32_t busy_ms;
-
-		return router_choose(router, &req, &host, &busy_ms) ? 0 : host;
-	}
-	uint32_t wait_max(uint64_t host, uint64_t now_ms)
-	{
-		struct router_request req = request("x", now_ms, none);
-
-		return router_wait_max(router, &req, host, 5000);
-	}
-	struct router_request request(const char *domain, uint64_t now_ms,
-				      const std::vector<uint64_t> &excluded)
-	{
-		struct router_request req = {};
-
-		req.snapshot = snapshot;
-		req.service = service;
-		req.own_domain = domain;
-		req.excluded = excluded.data();
-		req.excluded_count = excluded.size();
-		req.kilobytes = kilobytes;
-		req.rank = rank;
-		req.service_ms = 100;
-		req.remaining_ms = remaining_ms;
-		req.latency_ms = latency_ms;
-		req.queue_ms = queue_ms;
-		req.now_ms = now_ms;
-		return req;
-	}
-	const std::vector<uint64_t> none;
-	uint32_t latency_ms = 0;
-	uint32_t queue_ms = 5000;
-	double kilobytes = 0;
-	uint32_t rank = 0;
-	uint32_t remaining_ms = 10000;
-	/* Sends a call that the host answers with this load report. */
-	void answer(uint64_t host, struct router_load load, uint64_t now_ms)
-	{
-		router_started(router, host, now_ms);
-		router_finished(router, host, ROUTER_ANSWERED, 1, &load,
-				now_ms);
-	}
-	void fail(uint64_t host, uint64_t now_ms)
-	{
-		router_started(router, host, now_ms);
-		router_finished(router, host, ROUTER_FAILED, 1, nullptr,
-				now_ms);
-	}
-};
-
 TEST(router, own_domain_is_preferred_while_it_has_a_free_slot)
 {
 	fixture f({ { 1, "a", "x", 2 }, { 2, "a", "y", 2 } });
@@ -385,6 +288,42 @@
 	EXPECT_EQ(busy_ms, 600u);
 }
 
+/*
+ * A call whose queue time has ended is refused unless a slot is free. The load
+ * reports of some hosts tell what to expect of the others.
+ */
+TEST(router, call_that_cannot_wait_needs_a_likely_free_slot)
+{
+	fixture f(
+		{ { 1, "a", "x", 4 }, { 2, "a", "x", 4 }, { 3, "a", "x", 4 } },
+		ROUTER_COST);
+
+	f.queue_ms = 0;
+	EXPECT_NE(f.choose("x", 1000), 0u);
+	f.answer(1, load(4, 9, 4, 1), 1000);
+	f.answer(2, load(4, 9, 4, 1), 1000);
+	EXPECT_EQ(f.choose("x", 1000), 0u);
+	f.answer(2, load(1, 0, 4, 1), 1100);
+	EXPECT_EQ(f.choose("x", 1100, { 1, 3 }), 2u);
+	/* Old reports do not keep the call from being offered. */
+	EXPECT_NE(f.choose("x", 4000), 0u);
+	f.answer(1, load(4, 9, 4, 1), 5000);
+	f.answer(2, load(4, 9, 4, 1), 5000);
+	f.queue_ms = 100;
+	EXPECT_NE(f.choose("x", 5000), 0u);
+}
+
+TEST(router, host_that_refuses_and_has_no_slots_is_ejected)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
+	struct router_load none = load(0, 0, 0);
+
+	router_started(f.router, 1, 1000);
+	router_finished(f.router, 1, ROUTER_REFUSED, 1, &none, 1000);
+	EXPECT_TRUE(router_is_ejected(f.router, 1, 1100));
+	EXPECT_FALSE(router_is_ejected(f.router, 1, 2000));
+}
+
 TEST(router, unreachable_host_is_ejected_at_once)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
