--- a/src/router.c
+++ b/src/router.c
@@ -17,8 +17,8 @@
  * Load reports are stale when many entry nodes send to a host. Each decision
  * compares a random sample, so that the nodes don't all choose the same host.
  */
-#define SAMPLE_HOSTS 2
-#define SAMPLE_ALL_HOSTS_MAX 3 /* up to this many are all compared */
+#define SAMPLE_HOSTS 4
+#define SAMPLE_ALL_HOSTS_MAX 4 /* up to this many are all compared */
 /* Weight of the assumption of a free slot; a new load report weighs 1. */
 #define FREE_SLOT_PRIOR_WEIGHT 0.25
 #define FREE_SLOT_PROBABILITY_MIN 0.5
