admission: leave a slot to much shorter calls that come often

Change: while calls of less than half its service time and of no higher rank keep a quarter of a slot busy, a call leaves one slot free. Nothing needs to know which calls are nested.

The statistics of kinds moved to kind_stats.

--- a/src/admission.c
+++ b/src/admission.c
@@ -1,18 +1,20 @@
 #include "fescue/admission.h"
 
 #include "fescue/error.h"
+#include "kind_stats.h"
 
 #include <assert.h>
 #include <glib.h>
 #include <math.h>
 
-#define SERVICE_TIME_EWMA_WEIGHT 0.05
-#define KINDS_MAX 256 /* rules versions add and remove routes */
-#define GRANTED_WORK_HALF_LIFE_MS 1000.0
 #define AVAILABLE_SHARE_MIN 0.1 /* even if lower ranks flood the host */
 #define LATE_ANSWER_VALUE 0.5 /* an answer in time has the value 1 */
 #define COST_PRECEDENCE_FACTOR 2.0
 #define BACKGROUND_GRANT_PERIOD 10
+/* Hosts with fewer slots reserve none for shorter calls. */
+#define SHORTER_RESERVE_SLOTS_MIN 3
+/* Slots that shorter calls must have used lately to get one reserved. */
+#define SHORTER_CALLS_SLOTS_MIN 0.25
 #define PRECEDENCE_LEVELS (RULES_RANK_LEVELS * 2)
 #define DEPTH_LEVELS 16 /* greater depths share the last level */
 /* The reserve for a depth ends when no call of it has come for this long. */
@@ -25,7 +27,7 @@
 	uint32_t in_use_by_depth[DEPTH_LEVELS]; /* by depth of the call */
 	int draining;
 	double service_us; /* moving average of the service time of all calls */
-	GHashTable *kind_means_us; /* kind -> double, moving average */
+	struct kind_stats *kinds;
 	/* Decaying, by precedence level. */
 	double granted_work_us[PRECEDENCE_LEVELS];
 	uint64_t granted_work_updated_ms;
@@ -39,7 +41,7 @@
 	struct admission *a = g_new0(struct admission, 1);
 
 	a->policy = policy;
-	a->kind_means_us = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	a->kinds = kind_stats_create();
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		g_queue_init(&a->queues[i]);
 	return a;
@@ -51,7 +53,7 @@
 		return;
 	for (int i = 0; i < CALL_CLASS_COUNT; i++)
 		g_queue_clear_full(&a->queues[i], g_free);
-	g_hash_table_destroy(a->kind_means_us);
+	kind_stats_destroy(a->kinds);
 	g_free(a);
 }
 
@@ -118,25 +120,38 @@
 	return MAX(a->slots - reserved, 1);
 }
 
-static int can_start(const struct admission *a,
-		     const struct admission_call *call, uint64_t now_ms)
+static double mean_service_us(const struct admission *a, uint32_t kind)
 {
-	if (a->in_use >= class_slot_limit(a, call))
-		return 0;
-	return a->policy == ADMISSION_FIFO ||
-	       keeps_nested_reserve(a, depth_index(call->depth), now_ms);
+	return kind_stats_service_us(a->kinds, kind);
 }
 
 /*
- * Mean service time of the kind; 0 until one has finished, so that an estimate
- * can't keep the first of them from being started.
+ * Returns 1 if the call can start and still leave a slot to much shorter calls
+ * of the same or a lower rank, if such calls come often. They would wait behind
+ * long ones otherwise, and are usually calls for which others hold slots.
  */
-static double mean_service_us(const struct admission *a, uint32_t kind)
+static int leaves_slot_to_shorter(const struct admission *a,
+				  const struct admission_call *call,
+				  uint64_t now_ms)
 {
-	const double *us =
-		g_hash_table_lookup(a->kind_means_us, GUINT_TO_POINTER(kind));
+	double us = mean_service_us(a, call->kind) / COST_PRECEDENCE_FACTOR;
+
+	if (a->in_use + 1 < a->slots || a->slots < SHORTER_RESERVE_SLOTS_MIN)
+		return 1;
+	return kind_stats_shorter_slots(a->kinds, us, call->rank, now_ms) <
+	       SHORTER_CALLS_SLOTS_MIN;
+}
 
-	return us ? *us : 0;
+static int can_start(const struct admission *a,
+		     const struct admission_call *call, uint64_t now_ms)
+{
+	if (a->in_use >= class_slot_limit(a, call))
+		return 0;
+	if (a->policy == ADMISSION_FIFO)
+		return 1;
+	if (!leaves_slot_to_shorter(a, call, now_ms))
+		return 0;
+	return keeps_nested_reserve(a, depth_index(call->depth), now_ms);
 }
 
 static uint32_t rank_index(const struct admission_call *call)
@@ -187,6 +202,7 @@
 	decay_granted_work(a, now_ms);
 	a->granted_work_us[precedence_level(a, call, now_ms)] +=
 		mean_service_us(a, call->kind);
+	kind_stats_record_grant(a->kinds, call->kind, call->rank, now_ms);
 }
 
 /* Share of the slots that recent work of lower levels leaves to a level. */
@@ -335,22 +351,6 @@
 	return ADMISSION_QUEUED;
 }
 
-static void update_kind_mean(struct admission *a, uint32_t kind, double us)
-{
-	gpointer key = GUINT_TO_POINTER(kind);
-	double *mean = g_hash_table_lookup(a->kind_means_us, key);
-
-	if (mean) {
-		*mean += SERVICE_TIME_EWMA_WEIGHT * (us - *mean);
-		return;
-	}
-	if (g_hash_table_size(a->kind_means_us) >= KINDS_MAX)
-		g_hash_table_remove_all(a->kind_means_us);
-	mean = g_new(double, 1);
-	*mean = us;
-	g_hash_table_insert(a->kind_means_us, key, mean);
-}
-
 void admission_finish(struct admission *a, uint32_t kind, uint32_t depth,
 		      uint64_t service_us)
 {
@@ -361,7 +361,7 @@
 		a->service_us = (double)service_us;
 	a->service_us +=
 		SERVICE_TIME_EWMA_WEIGHT * ((double)service_us - a->service_us);
-	update_kind_mean(a, kind, (double)service_us);
+	kind_stats_record_run(a->kinds, kind, (double)service_us);
 }
 
 /* Can the call stay queued, and meet its deadline if it starts now? */
@@ -472,10 +472,7 @@
 
 uint32_t admission_service_us(const struct admission *a, uint32_t kind)
 {
-	const double *us =
-		g_hash_table_lookup(a->kind_means_us, GUINT_TO_POINTER(kind));
-
-	return us ? (uint32_t)*us : 0;
+	return (uint32_t)mean_service_us(a, kind);
 }
 
 /* Adds the mean service times of the queued calls to the total of each rank. */
