--- a/src/router.c
+++ b/src/router.c
@@ -19,7 +19,7 @@
  */
 #define SAMPLE_HOSTS 4
 #define SAMPLE_ALL_HOSTS_MAX 4 /* up to this many are all compared */
-/* Weight of the assumption of a free slot; a new load report weighs 1. */
+/* Weight of an assumed free slot; a new load report weighs 1. */
 #define FREE_SLOT_PRIOR_WEIGHT 0.25
 #define FREE_SLOT_PROBABILITY_MIN 0.5
 /* Service time of a host grows by up to this share with its utilization. */
@@ -333,16 +333,16 @@
 /*
  * Estimates how likely a host has a free slot, among the hosts of the own
  * domain (own is 1) or of all others (0): the share of load reports with a free
- * slot, weighted by age. The prior assumes a free slot, so that a group without
- * recent reports is tried again.
+ * slot, weighted by age. free_weight is the weight of a report of a free slot
+ * that is added, so that a group without recent reports is tried again.
  */
 static double free_slot_probability(const struct router *r,
 				    const GArray *candidates,
 				    const struct router_request *req,
-				    uint64_t except, int own)
+				    uint64_t except, int own,
+				    double free_weight)
 {
-	double free_weight = FREE_SLOT_PRIOR_WEIGHT,
-	       total_weight = FREE_SLOT_PRIOR_WEIGHT;
+	double total_weight = FREE_SLOT_PRIOR_WEIGHT;
 	int any = 0;
 
 	for (guint i = 0; i < candidates->len; i++) {
@@ -396,9 +396,10 @@
 	double probability[2], least_ms = HUGE_VAL;
 	guint kept = 0;
 
-	for (int own = 0; own < 2; own++)
-		probability[own] =
-			free_slot_probability(r, candidates, req, 0, own);
+	/* Other domains are not tried without a report of a free slot there. */
+	probability[0] = free_slot_probability(r, candidates, req, 0, 0, 0);
+	probability[1] = free_slot_probability(r, candidates, req, 0, 1,
+					       FREE_SLOT_PRIOR_WEIGHT);
 	for (guint i = 0; i < candidates->len; i++) {
 		struct candidate c = *get_candidate(candidates, i);
 		int own = is_own_domain(&c, req);
@@ -495,8 +496,10 @@
 {
 	GArray *candidates = find_candidates(r, req);
 	double probability =
-		MAX(free_slot_probability(r, candidates, req, host, 1),
-		    free_slot_probability(r, candidates, req, host, 0));
+		MAX(free_slot_probability(r, candidates, req, host, 1,
+					  FREE_SLOT_PRIOR_WEIGHT),
+		    free_slot_probability(r, candidates, req, host, 0,
+					  FREE_SLOT_PRIOR_WEIGHT));
 
 	g_array_free(candidates, TRUE);
 	return probability > FREE_SLOT_PROBABILITY_MIN;
--- a/test/test_router.cc
+++ b/test/test_router.cc
@@ -313,6 +313,19 @@
 	EXPECT_NE(f.choose("x", 5000), 0u);
 }
 
+/* Nothing is known of y: an offer that is refused there costs traffic. */
+TEST(router, call_that_cannot_wait_crosses_domains_only_to_a_free_slot)
+{
+	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "y", 4 } }, ROUTER_COST);
+
+	f.queue_ms = 0;
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 0u);
+	f.answer(2, load(1, 0, 4, 1), 1000);
+	EXPECT_EQ(f.choose("x", 1000, { 1 }), 2u);
+	f.queue_ms = 100;
+	EXPECT_EQ(f.choose("x", 9000, { 1 }), 2u);
+}
+
 TEST(router, host_that_refuses_and_has_no_slots_is_ejected)
 {
 	fixture f({ { 1, "a", "x", 4 }, { 2, "a", "x", 4 } }, ROUTER_COST);
