distribution: count the delay of a fetch once for a version

Change: the delay counts from when a newer version was first heard of; after that any peer that has it is asked at once.

The case in test_distribution failed before.

--- a/src/distribution.c
+++ b/src/distribution.c
@@ -75,6 +75,7 @@
 	assert(text->version > active_text(d)->version);
 	drop_queued_applies(d);
 	version_history_push(&d->history, text);
+	d->behind_since_ms = 0;
 	add_action(d, DISTRIBUTION_APPLY, active_text(d)->version);
 }
 
@@ -162,6 +163,7 @@
 		return;
 	version_text_clear(&d->staged);
 	d->staged = version_text_copy(version, text, size);
+	d->behind_since_ms = 0;
 	if (!needs_peer_copy(d))
 		apply_staged(d);
 	schedule_push(d, now_ms, outbox);
@@ -186,6 +188,14 @@
 	outbox_send(outbox, peer, PACKET_REPAIR, packet);
 }
 
+/* Without a watch only a push is awaited, which arrives sooner. */
+static uint32_t fetch_delay(const struct distribution *d)
+{
+	uint32_t delay = d->settings.fetch_delay_ms;
+
+	return d->watching ? delay : delay / 2;
+}
+
 void distribution_receive_peer_version(struct distribution *d, uint64_t peer,
 				       uint64_t version, uint64_t hash,
 				       uint64_t now_ms, struct outbox *outbox)
@@ -193,10 +203,13 @@
 	(void)hash;
 	if (version <= newest_text(d)->version)
 		return;
+	if (!d->behind_since_ms)
+		d->behind_since_ms = now_ms;
 	if (d->fetch_peer &&
 	    now_ms < d->fetch_started_ms + d->settings.fetch_timeout_ms)
 		return;
-	if (!d->settings.fetch_delay_ms || d->store_unreachable) {
+	if (d->store_unreachable ||
+	    now_ms >= d->behind_since_ms + fetch_delay(d)) {
 		d->fetch_version = version;
 		d->fetch_retry_left = 1;
 		send_fetch(d, peer, now_ms, 0, outbox);
@@ -212,14 +225,6 @@
 	d->store_unreachable = !reachable;
 }
 
-/* Without a watch only a push is awaited, which arrives sooner. */
-static uint32_t fetch_delay(const struct distribution *d)
-{
-	uint32_t delay = d->settings.fetch_delay_ms;
-
-	return d->watching ? delay : delay / 2;
-}
-
 /* Fetch the deferred version if it did not arrive otherwise by now. */
 static void start_deferred_fetch(struct distribution *d, uint64_t now_ms,
 				 struct outbox *outbox)
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -39,6 +39,8 @@
 	uint64_t deferred_fetch_peer; /* 0: no fetch is deferred */
 	uint64_t deferred_fetch_version;
 	uint64_t deferred_since_ms;
+	/* When a version newer than the held one was first heard of; or 0. */
+	uint64_t behind_since_ms;
 	uint64_t rejected_version;
 	struct diagnostic rejection;
 	GQueue actions; /* struct distribution_action */
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -99,6 +99,48 @@
 }
 
 /* The relays of all domains lose the store: standby hosts watch it instead. */
+/* Peer of the fetch that the distribution sends now; 0: none. */
+uint64_t sent_fetch(struct outbox *outbox)
+{
+	uint64_t peer = 0;
+
+	while (struct outgoing *out = outbox_pop(outbox)) {
+		if (out->packet->body_case == FESCUE__PACKET__BODY_CONFIG_FETCH)
+			peer = out->to;
+		outgoing_destroy(out);
+	}
+	return peer;
+}
+
+/*
+ * The delay of a fetch counts once for a version. If the first peer is lost,
+ * the next one that has the version is asked at once.
+ */
+TEST(distribution, fetch_from_a_second_peer_is_not_delayed_again)
+{
+	struct distribution_settings settings = distribution_defaults;
+	struct outbox outbox = {};
+	struct host self = {};
+	struct membership *membership;
+	struct distribution *d;
+
+	self.address = 1;
+	membership = membership_create(&membership_defaults, &self, 1, 0);
+	settings.fetch_delay_ms = 1000;
+	settings.fetch_timeout_ms = 500;
+	d = distribution_create(&settings, membership);
+	g_queue_init(&outbox.queue);
+	distribution_receive_peer_version(d, 2, 7, 0, 1000, &outbox);
+	EXPECT_EQ(sent_fetch(&outbox), 0u);
+	distribution_tick(d, 2000, &outbox);
+	EXPECT_EQ(sent_fetch(&outbox), 2u);
+	distribution_tick(d, 2500, &outbox);
+	distribution_receive_peer_version(d, 3, 7, 0, 2600, &outbox);
+	EXPECT_EQ(sent_fetch(&outbox), 3u);
+	distribution_destroy(d);
+	membership_destroy(membership);
+}
+
 TEST(distribution, standby_hosts_replace_relays_without_store)
 {
 	for (int seed = 0; seed < 50; seed++) {
