--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -14,16 +14,16 @@
  * - Nested calls: while calls of several depths arrive, a call leaves one slot
  *   free for each greater depth. Otherwise callers that hold slots could starve
  *   the nested calls they wait for.
- * - Short calls: while much shorter calls of the same or a lower rank keep a
- *   quarter of a slot busy, a call leaves one slot free for them. They would
- *   wait behind long calls otherwise.
+ * - Short calls: while calls of less than half the service time, and of the
+ *   same or a lower rank, keep a quarter of a slot busy, a call leaves one slot
+ *   free for them. Otherwise they would wait behind long ones.
  * - Bounds: queues are bounded. A call that cannot start at once is refused if
  *   its expected wait exceeds its queue timeout, or together with the mean
  *   service time of its kind exceeds its deadline. The expected wait includes
  *   the queued work ahead of the call and the share of the slots that lower
- *   ranks use, and for a call that will miss its target latency also the share
- *   of calls of its rank that can meet theirs. A queued call that would probably miss its deadline is refused
- *   instead of started.
+ *   ranks use. For a call that will miss its target latency it also includes
+ *   the share of the calls of its rank that can meet theirs. A queued call that
+ *   would probably miss its deadline is refused instead of started.
  *
  * Service time is the time a call holds a slot. The module does no I/O and
  * reads no clock; its user passes the current time in milliseconds.
--- a/src/admission.c
+++ b/src/admission.c
@@ -7,12 +7,12 @@
 #include <glib.h>
 #include <math.h>
 
-#define AVAILABLE_SHARE_MIN 0.1 /* even if lower ranks flood the host */
+#define AVAILABLE_SHARE_MIN 0.1 /* even if lower levels flood the host */
 #define LATE_ANSWER_VALUE 0.5 /* an answer in time has the value 1 */
 #define COST_PRECEDENCE_FACTOR 2.0
 #define BACKGROUND_GRANT_PERIOD 10
 /* Hosts with fewer slots reserve none for shorter calls. */
-#define SHORTER_RESERVE_SLOTS_MIN 3
+#define SHORTER_RESERVE_SLOTS_MIN 6
 /* Slots that shorter calls must have used lately to get one reserved. */
 #define SHORTER_CALLS_SLOTS_MIN 0.25
 #define PRECEDENCE_LEVELS (RULES_RANK_LEVELS * 2)
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -212,6 +212,7 @@
 	    now_ms >= d->behind_since_ms + fetch_delay(d)) {
 		d->fetch_version = version;
 		d->fetch_retry_left = 1;
+		d->deferred_fetch_peer = 0;
 		send_fetch(d, peer, now_ms, 0, outbox);
 	} else if (!d->deferred_fetch_peer) {
 		d->deferred_fetch_peer = peer;
