--- a/src/router.c
+++ b/src/router.c
@@ -384,11 +384,24 @@
 }
 
 /*
- * Removes the candidates that would probably refuse the call. One that can't be
+ * Returns 1 if the host would probably refuse the call. A call that can't be
  * queued any more needs a free slot. One that can is refused if it would not
  * start in time, which counts in other domains only: an offer that is refused
- * there costs traffic between domains. Returns the least expected wait of the
- * removed hosts, in ms.
+ * there costs traffic between domains.
+ */
+static int would_refuse(const struct router *r, const struct candidate *c,
+			const struct router_request *req, double wait_ms,
+			double group_probability)
+{
+	if (!req->queue_ms)
+		return !free_slot_is_likely(r, c, req, group_probability);
+	return !is_own_domain(c, req) && c->stats->load.has_waits &&
+	       wait_ms > req->queue_ms;
+}
+
+/*
+ * Removes the candidates that would refuse the call. Returns the least expected
+ * wait of these, in ms; HUGE_VAL if there are none.
  */
 static double drop_refusing(struct router *r, GArray *candidates,
 			    const struct router_request *req)
@@ -404,16 +417,9 @@
 		struct candidate c = *get_candidate(candidates, i);
 		int own = is_own_domain(&c, req);
 		double service_ms, wait_ms;
-		int refuses;
 
 		wait_ms = expected_wait_and_service(r, &c, req, &service_ms);
-		if (!req->queue_ms)
-			refuses = !free_slot_is_likely(r, &c, req,
-						       probability[own]);
-		else
-			refuses = !own && c.stats->load.has_waits &&
-				  wait_ms > req->queue_ms;
-		if (refuses)
+		if (would_refuse(r, &c, req, wait_ms, probability[own]))
 			least_ms = MIN(least_ms, wait_ms);
 		else
 			g_array_index(candidates, struct candidate, kept++) = c;
