router: estimate free slots only for calls that cannot wait

The share of free slots of each side was computed for every call and used only for those whose queue time has ended. The weight of a load report and its test for a free slot stood in two places each; both are functions now.

--- a/src/router.c
+++ b/src/router.c
@@ -330,6 +330,22 @@
 	return chosen;
 }
 
+/* Weight of the host's last load report; halves with its age. */
+static double report_weight(const struct router *r, const struct host_stats *s,
+			    uint64_t now_ms)
+{
+	double age = (double)(now_ms - s->load_reported_ms);
+
+	return exp2(-age / r->settings.load_half_life_ms);
+}
+
+/* Did the last load report leave a free slot after the calls sent since? */
+static int report_leaves_free_slot(const struct host_stats *s)
+{
+	return s->load.in_use + s->load.queued + s->sent_since_report <
+	       s->load.slots;
+}
+
 /*
  * Estimates how likely a host has a free slot, among the hosts of the own
  * domain (own is 1) or of all others (0): the share of load reports with a free
@@ -348,8 +364,7 @@
 	for (guint i = 0; i < candidates->len; i++) {
 		const struct candidate *c = get_candidate(candidates, i);
 		const struct host_stats *s = c->stats;
-		double age = (double)(req->now_ms - s->load_reported_ms);
-		double weight = exp2(-age / r->settings.load_half_life_ms);
+		double weight = report_weight(r, s, req->now_ms);
 
 		if (c->host->host == except || is_own_domain(c, req) != own)
 			continue;
@@ -357,8 +372,7 @@
 		if (!s->load.slots)
 			continue;
 		total_weight += weight;
-		if (s->load.in_use + s->load.queued + s->sent_since_report <
-		    s->load.slots)
+		if (report_leaves_free_slot(s))
 			free_weight += weight;
 	}
 	return any ? free_weight / total_weight : 0;
@@ -374,12 +388,10 @@
 			       double group_probability)
 {
 	const struct host_stats *s = c->stats;
-	double age = (double)(req->now_ms - s->load_reported_ms);
-	double weight = exp2(-age / r->settings.load_half_life_ms);
-	int is_free = s->load.in_use + s->load.queued + s->sent_since_report <
-		      s->load.slots;
+	double weight = report_weight(r, s, req->now_ms);
 
-	return weight * is_free + (1 - weight) * group_probability >
+	return weight * report_leaves_free_slot(s) +
+		       (1 - weight) * group_probability >
 	       FREE_SLOT_PROBABILITY_MIN;
 }
 
@@ -406,13 +418,16 @@
 static double drop_refusing(struct router *r, GArray *candidates,
 			    const struct router_request *req)
 {
-	double probability[2], least_ms = HUGE_VAL;
+	double probability[2] = { 0, 0 }, least_ms = HUGE_VAL;
 	guint kept = 0;
 
 	/* Other domains are not tried without a report of a free slot there. */
-	probability[0] = free_slot_probability(r, candidates, req, 0, 0, 0);
-	probability[1] = free_slot_probability(r, candidates, req, 0, 1,
-					       FREE_SLOT_PRIOR_WEIGHT);
+	if (!req->queue_ms) {
+		probability[0] =
+			free_slot_probability(r, candidates, req, 0, 0, 0);
+		probability[1] = free_slot_probability(r, candidates, req, 0, 1,
+						       FREE_SLOT_PRIOR_WEIGHT);
+	}
 	for (guint i = 0; i < candidates->len; i++) {
 		struct candidate c = *get_candidate(candidates, i);
 		int own = is_own_domain(&c, req);
