--- a/review/2/silent_store.c
+++ b/review/2/silent_store.c
@@ -19,20 +19,20 @@
 #define CHECK_MS 8000
 #define AUTHORITY "shop.example"
 
-#define SERVICES                                                        \
-	"{\"type\":\"services\",\"metadata\":{\"name\":\"shop\"},"      \
+#define SERVICES                                                          \
+	"{\"type\":\"services\",\"metadata\":{\"name\":\"shop\"},"        \
 	"\"spec\":{\"healthPath\":\"/healthz\",\"maxConnections\":130}}," \
-	"{\"type\":\"services\",\"metadata\":{\"name\":\"store\"},"     \
+	"{\"type\":\"services\",\"metadata\":{\"name\":\"store\"},"       \
 	"\"spec\":{\"healthPath\":\"/healthz\",\"maxConnections\":130}}," \
-	"{\"type\":\"limits\",\"metadata\":{},\"spec\":{"               \
-	"\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"           \
+	"{\"type\":\"limits\",\"metadata\":{},\"spec\":{"                 \
+	"\"maxHeaderBytes\":16384,\"maxBodyBytes\":67108864,"             \
 	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
 
-#define ROUTE(name, prefix, timeout, service)                            \
-	",{\"type\":\"routes\",\"metadata\":{\"name\":\"" name "\"},"    \
+#define ROUTE(name, prefix, timeout, service)                             \
+	",{\"type\":\"routes\",\"metadata\":{\"name\":\"" name "\"},"     \
 	"\"spec\":{\"host\":\"" AUTHORITY "\",\"prefix\":\"" prefix "\"," \
-	"\"kind\":\"safe\",\"timeoutMs\":" timeout ","                   \
-	"\"targetLatencyMs\":400,\"priority\":2,"                        \
+	"\"kind\":\"safe\",\"timeoutMs\":" timeout ","                    \
+	"\"targetLatencyMs\":400,\"priority\":2,"                         \
 	"\"service\":\"" service "\",\"maxAttempts\":2}}"
 
 static const char first_version[] =
@@ -99,8 +99,9 @@
 
 int main(int argc, char **argv)
 {
-	static const char *const services[HOSTS] = { "shop", "store", "shop",
-						     "store", "shop", "store" };
+	static const char *const services[HOSTS] = {
+		"shop", "store", "shop", "store", "shop", "store"
+	};
 	static const int slots[HOSTS] = { 6, 6, 6, 6, 6, 6 };
 	static struct lab lab;
 	const char *trouble = getenv("TROUBLE");
--- a/review/lab/deployment.c
+++ b/review/lab/deployment.c
@@ -336,9 +336,9 @@
 	if (fd >= 0 && m && !lab_write(fd, out, (size_t)n) &&
 	    !lab_read_message(fd, m, deadline_ms + 500)) {
 		sscanf(m->bytes, "%*s %d", &answer->status);
-		answer->is_signed =
-			lab_header(m, "fescuehitch-response-signature", text,
-				   sizeof(text));
+		answer->is_signed = lab_header(m,
+					       "fescuehitch-response-signature",
+					       text, sizeof(text));
 		lab_header(m, "retry-after", answer->retry_after,
 			   sizeof(answer->retry_after));
 		sscanf(m->body, "%63s", answer->by);
--- a/review/lab/instance.c
+++ b/review/lab/instance.c
@@ -113,9 +113,10 @@
 	pthread_mutex_lock(&in->lock);
 	snprintf(own, sizeof(own), "%s", in->id);
 	pthread_mutex_unlock(&in->lock);
-	snprintf(headers, sizeof(headers),
-		 "Fescuehitch-Request-Id: %s\r\nFescuehitch-Instance-Id: %s\r\n",
-		 id, own);
+	snprintf(
+		headers, sizeof(headers),
+		"Fescuehitch-Request-Id: %s\r\nFescuehitch-Instance-Id: %s\r\n",
+		id, own);
 	if (*target && strcmp(target, own)) {
 		observe(in, id, path, LAB_REFUSED);
 		return reply(c->fd, "421 Misdirected Request", headers, "");
