--- a/review/lab/instance.c
+++ b/review/lab/instance.c
@@ -29,6 +29,7 @@
 	int incarnation, sequence;
 	atomic_int shed_percent, work_ms, stopping;
 	atomic_int unannounced; /* no heartbeat since its start */
+	atomic_int leaving; /* sends no heartbeats any more */
 };
 
 struct connection {
@@ -255,7 +256,8 @@
 	uint64_t next_ms = 0;
 
 	while (!in->stopping) {
-		if (in->unannounced || lab_now_ms() >= next_ms) {
+		if (!in->leaving &&
+		    (in->unannounced || lab_now_ms() >= next_ms)) {
 			in->unannounced = 0;
 			next_ms = lab_now_ms() + HEARTBEAT_MS;
 			send_heartbeat(in);
@@ -265,6 +267,35 @@
 	return NULL;
 }
 
+int lab_instance_leave(struct lab_instance *in)
+{
+	struct lab_message *answer = malloc(sizeof(*answer));
+	char out[256];
+	int fd = lab_connect(in->host->ip, LAB_CONTROL, 1000), error = -1, n;
+
+	in->leaving = 1;
+	n = snprintf(out, sizeof(out),
+		     "DELETE /fescuehitch/instances/%s HTTP/1.1\r\n"
+		     "Host: node\r\nConnection: close\r\n\r\n",
+		     in->id);
+	if (fd >= 0 && answer && !lab_write(fd, out, (size_t)n) &&
+	    !lab_read_message(fd, answer, 1000))
+		error = !strstr(answer->bytes, " 200 ");
+	if (fd >= 0)
+		close(fd);
+	free(answer);
+	lab_record("instance %s sends DELETE: %s", in->id,
+		   error ? "no acknowledgement" : "acknowledged");
+	return error;
+}
+
+void lab_instance_late_heartbeat(struct lab_instance *in)
+{
+	lab_record("a heartbeat of %s, sent before it left, arrives late",
+		   in->id);
+	send_heartbeat(in);
+}
+
 struct lab_instance *lab_instance_start(struct lab *lab, struct lab_host *host)
 {
 	struct lab_instance *in = calloc(1, sizeof(*in));
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -133,6 +133,10 @@
 void lab_instance_set_shed(struct lab_instance *instance, int percent);
 void lab_instance_set_work(struct lab_instance *instance, int ms);
 int lab_instance_is_up(struct lab_instance *instance);
+/* Sends DELETE and no more heartbeats; goes on serving. 0: acknowledged. */
+int lab_instance_leave(struct lab_instance *instance);
+/* Delivers, late, a heartbeat that was sent before the instance left. */
+void lab_instance_late_heartbeat(struct lab_instance *instance);
 
 /* The proxy in front of the store. */
 int lab_proxy_start(struct lab_proxy *proxy, const char *ip, int port,
