standin: a silent store returns nothing further on its connections

The platform says that a connection on which a response was lost returns nothing further. The stand-in was kinder: at the end of an outage it closed the connections of the calls that it had held, at its start it cut the waiting watches, and a write with a lost answer closed its connection.

Calls, watches and lost answers are now held until the client closes the connection.

--- a/standin/store_call.h
+++ b/standin/store_call.h
@@ -34,6 +34,7 @@
 	json_t *body; /* of a transaction or the creation of a lease */
 	uv_timer_t timer; /* delays the answer or ends a watch */
 	int waiting; /* is in the list of watches */
+	int held; /* is in the list of calls that get no answer */
 };
 
 /* Parses call->exchange; sets type to CALL_INVALID if that fails. */
--- a/standin/store_data.h
+++ b/standin/store_data.h
@@ -5,6 +5,7 @@
 #define FESCUE_STORE_DATA_H
 
 #include "store_call.h"
+#include "store_standin.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -12,9 +13,6 @@
 
 #define STORE_STANDIN_EVENTS_MAX 10000 /* kept for watches */
 
-/* Whether calls are served, refused, or held without an answer. */
-enum outage { OUTAGE_NONE, OUTAGE_REFUSE, OUTAGE_HANG };
-
 struct entry {
 	char *value;
 	size_t size;
@@ -37,12 +35,13 @@
 
 struct store {
 	uv_loop_t *loop;
+	struct http_server *server;
 	GTree *entries; /* key -> struct entry */
 	GQueue history; /* struct event, the oldest at the head */
 	uint64_t compacted_revision; /* of the newest event dropped */
 	GHashTable *leases; /* id -> struct lease */
 	GPtrArray *watches; /* struct call that waits for a change */
-	GPtrArray *held_calls; /* struct call held by an outage */
+	GPtrArray *held_calls; /* struct call that gets no answer */
 	uint64_t revision;
 	uint64_t last_lease; /* id of the newest lease */
 	enum outage outage;
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -1,17 +1,12 @@
-/*
- * fescue-store-standin: a key-value store for tests that speaks the platform's
- * protocol, with conditional writes, leases, watches and fault injection.
- */
+#include "store_standin.h"
+
 #include "faults.h"
 #include "fescue/error.h"
 #include "http_server.h"
-#include "program.h"
 #include "store_data.h"
 
 #include <inttypes.h>
 #include <jansson.h>
-#include <signal.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -33,6 +28,8 @@
 {
 	if (c->waiting)
 		g_ptr_array_remove_fast(c->store->watches, c);
+	if (c->held)
+		g_ptr_array_remove_fast(c->store->held_calls, c);
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
@@ -51,6 +48,24 @@
 	call_end(c);
 }
 
+/*
+ * Leaves a call without an answer until its client closes the connection. The
+ * platform's store returns nothing further on such a connection.
+ */
+static void hold(struct call *c)
+{
+	uv_timer_stop(&c->timer);
+	if (c->waiting)
+		g_ptr_array_remove_fast(c->store->watches, c);
+	c->waiting = 0;
+	if (!c->exchange) {
+		call_end(c);
+		return;
+	}
+	c->held = 1;
+	g_ptr_array_add(c->store->held_calls, c);
+}
+
 static void reply_error(struct call *c, int status, const char *error)
 {
 	reply(c, status, json_pack("{s:s}", "error", error));
@@ -117,10 +132,7 @@
 	}
 }
 
-/*
- * Answers a write, or closes its connection without an answer if the fault
- * lose_answers is active.
- */
+/* Answers a write unless the fault lose_answers is active. */
 static void reply_write(struct call *c)
 {
 	struct store *s = c->store;
@@ -132,9 +144,7 @@
 	}
 	s->lose_answers--;
 	s->lost_answers++;
-	if (c->exchange)
-		http_exchange_abort(c->exchange);
-	call_end(c);
+	hold(c);
 }
 
 static void handle_txn(struct call *c)
@@ -273,7 +283,7 @@
 	struct call *c = data;
 
 	c->exchange = NULL;
-	if (c->waiting)
+	if (c->waiting || c->held)
 		call_end(c);
 }
 
@@ -319,46 +329,50 @@
 	http_exchange_on_close(exchange, on_client_disconnected, c);
 	if (s->outage == OUTAGE_HANG) {
 		s->refused++;
-		g_ptr_array_add(s->held_calls, c);
+		hold(c);
 		return;
 	}
 	uv_timer_start(&c->timer, on_delay_elapsed, s->delay_ms, 0);
 }
 
-/* Closes the connections of held calls, which never took effect. */
-static void close_held_calls(struct store *s)
+static void close_watches(struct store *s)
 {
-	while (s->held_calls->len) {
-		struct call *c = g_ptr_array_remove_index_fast(
-			s->held_calls, s->held_calls->len - 1);
+	while (s->watches->len) {
+		struct call *c = g_ptr_array_index(s->watches, 0);
 
 		if (c->exchange)
 			http_exchange_abort(c->exchange);
+		c->exchange = NULL;
 		call_end(c);
 	}
 }
 
-static void close_watches(struct store *s)
+static void hold_watches(struct store *s)
 {
-	while (s->watches->len) {
-		struct call *c = g_ptr_array_index(s->watches, 0);
+	while (s->watches->len)
+		hold(g_ptr_array_index(s->watches, 0));
+}
 
-		if (c->exchange)
-			http_exchange_abort(c->exchange);
-		c->exchange = NULL;
-		call_end(c);
+void store_standin_set_outage(struct store *s, enum outage outage)
+{
+	s->outage = outage;
+	switch (outage) {
+	case OUTAGE_NONE:
+		break;
+	case OUTAGE_REFUSE:
+		close_watches(s);
+		break;
+	case OUTAGE_HANG:
+		hold_watches(s);
+		break;
 	}
 }
 
 static void set_outage(struct store *s, const char *name)
 {
-	s->outage = !strcmp(name, "refuse") ? OUTAGE_REFUSE :
-		    !strcmp(name, "hang")   ? OUTAGE_HANG :
-					      OUTAGE_NONE;
-	if (s->outage == OUTAGE_NONE)
-		close_held_calls(s);
-	else
-		close_watches(s);
+	store_standin_set_outage(s, !strcmp(name, "refuse") ? OUTAGE_REFUSE :
+				    !strcmp(name, "hang")   ? OUTAGE_HANG :
+							      OUTAGE_NONE);
 }
 
 static void set_faults(struct store *s, struct http_exchange *exchange)
@@ -418,9 +432,23 @@
 		answer_watches(s);
 }
 
-static void store_init(struct store *s, uv_loop_t *loop)
+void store_standin_put(struct store *s, const char *key, const char *value,
+		       size_t size)
+{
+	char *base64 = g_base64_encode((const guchar *)value, size);
+
+	s->revision++;
+	put_entry(s, key, base64, 0);
+	g_free(base64);
+	answer_watches(s);
+}
+
+int store_standin_create(uv_loop_t *loop, struct address address,
+			 struct store **out)
 {
-	memset(s, 0, sizeof(*s));
+	struct store *s = g_new0(struct store, 1);
+
+	*out = s;
 	s->loop = loop;
 	s->delay_ms = ANSWER_DELAY_MS;
 	s->entries = g_tree_new_full(compare_keys, NULL, g_free, entry_free);
@@ -433,32 +461,31 @@
 	s->expiry_timer.data = s;
 	uv_timer_start(&s->expiry_timer, on_expiry_timer, EXPIRY_INTERVAL_MS,
 		       EXPIRY_INTERVAL_MS);
+	return http_server_create(loop, address, on_request, s, &s->server);
+}
+
+static void on_expiry_timer_closed(uv_handle_t *handle)
+{
+	struct store *s = handle->data;
+
+	while (!g_queue_is_empty(&s->history))
+		drop_oldest_event(s);
+	g_tree_destroy(s->entries);
+	g_hash_table_destroy(s->leases);
+	g_ptr_array_free(s->watches, TRUE);
+	g_ptr_array_free(s->held_calls, TRUE);
+	g_free(s);
 }
 
-int main(int argc, char **argv)
-{
-	static const GOptionEntry entries[] = {
-		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
-	};
-	static struct store store;
-	struct http_server *server;
-	struct address address;
-
-	program_parse(&argc, &argv, entries, "IP:PORT",
-		      "Simulates the platform's key-value store for tests.");
-	if (argc != 2 || address_parse(argv[1], &address))
-		program_usage_error("fescue-store-standin",
-				    "the IP:PORT to listen on is required");
-	signal(SIGPIPE, SIG_IGN);
-	store_init(&store, uv_default_loop());
-	if (http_server_create(store.loop, address, on_request, &store,
-			       &server)) {
-		fprintf(stderr,
-			"fescue-store-standin: cannot listen on %s; check "
-			"that the port is free\n",
-			argv[1]);
-		return EXIT_ERROR;
+void store_standin_destroy(struct store *s)
+{
+	http_server_stop(s->server);
+	close_watches(s);
+	while (s->held_calls->len) {
+		struct call *c = g_ptr_array_index(s->held_calls, 0);
+
+		http_exchange_abort(c->exchange);
+		call_end(c);
 	}
-	uv_run(store.loop, UV_RUN_DEFAULT);
-	return EXIT_OK;
+	uv_close((uv_handle_t *)&s->expiry_timer, on_expiry_timer_closed);
 }
