--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -62,6 +62,7 @@
 	struct store_call *watch_call;
 	uint64_t watch_after; /* revision of the store; 0: read the key first */
 	uint64_t watch_at_ms;
+	uint64_t watch_started_ms;
 	uint32_t watch_retry_ms;
 	uint64_t recheck_at_ms;
 	uint64_t lease;
@@ -236,6 +237,10 @@
 
 static void watch_failed(struct bootstrap *b, int error)
 {
+	log_event(LOG_STATE, "watch_failed",
+		  "\"error\":\"%s\",\"waited_ms\":%" PRIu64 ",\"store_up\":%d",
+		  fescue_strerror(error),
+		  bootstrap_now_ms(b) - b->watch_started_ms, b->store_up);
 	b->watch_at_ms = bootstrap_now_ms(b) +
 			 jitter(b, next_retry_delay_ms(&b->watch_retry_ms));
 	update_store_state(b, error);
@@ -312,6 +317,7 @@
 	if (!b->watching || b->watch_call || now_ms < b->watch_at_ms ||
 	    !may_act_as_relay(b, now_ms))
 		return;
+	b->watch_started_ms = now_ms;
 	b->watch_call = b->watch_after ?
 				store_watch(b->settings.store, config_key(b),
 					    b->watch_after, on_watch, b) :
--- /dev/null
+++ b/test/test_bootstrap.cc
@@ -0,0 +1,203 @@
+/*
+ * Tests of the bootstrap of one node against the stand-in of the store, in real
+ * time: new versions must be active within seconds of their acknowledgement,
+ * whatever happened to the connections before.
+ */
+#include "silent_proxy.h"
+
+#include <csignal>
+
+extern "C" {
+#include "bootstrap.h"
+#include "fescue/envelope.h"
+#include "standin/store_standin.h"
+}
+
+namespace
+{
+
+const struct address store_address = { 0x7f000001, 47171 };
+const uint64_t TICK_MS = 50;
+/* Within which an accepted change must be active everywhere. */
+const uint64_t ACTIVE_WITHIN_MS = 3000;
+
+struct fixture {
+	uv_loop_t *loop = uv_default_loop();
+	struct node_context context = {};
+	struct counters counters = {};
+	struct outbox outbox = {};
+	struct store *store = nullptr;
+	struct store_client *client;
+	struct membership *membership;
+	struct distribution *distribution;
+	struct bootstrap *bootstrap;
+	uv_timer_t tick_timer;
+	uint64_t change = 0;
+	uint64_t active = 0;
+
+	/* The node reaches the store at address. */
+	explicit fixture(struct address address)
+	{
+		struct bootstrap_settings settings = {};
+		struct host self = {};
+
+		signal(SIGPIPE, SIG_IGN);
+		uv_update_time(loop);
+		EXPECT_EQ(store_standin_create(loop, store_address, &store), 0);
+		client = store_client_create(loop, address, &counters);
+		self.address = (uint64_t)0x7f000001 << 16 | 7660;
+		self.incarnation = 1;
+		strcpy(self.failure_domain, "a");
+		context.loop = loop;
+		g_queue_init(&outbox.queue);
+		membership = membership_create(&membership_defaults, &self, 1,
+					       uv_now(loop));
+		distribution =
+			distribution_create(&distribution_defaults, membership);
+		settings.context = &context;
+		settings.store = client;
+		settings.membership = membership;
+		settings.distribution = distribution;
+		settings.outbox = &outbox;
+		settings.interface = INTERFACE_FESCUE;
+		settings.failure_domain = "a";
+		settings.start_jitter_ms = 10;
+		settings.relays_per_domain = 2;
+		settings.seed = 1;
+		settings.changed = on_changed;
+		settings.version_read = on_version_read;
+		settings.data = this;
+		bootstrap = bootstrap_create(&settings);
+		uv_timer_init(loop, &tick_timer);
+		tick_timer.data = this;
+		uv_timer_start(&tick_timer, on_tick, TICK_MS, TICK_MS);
+	}
+	~fixture()
+	{
+		bootstrap_destroy(bootstrap);
+		store_client_destroy(client);
+		distribution_destroy(distribution);
+		membership_destroy(membership);
+		outbox_clear(&outbox);
+		uv_close((uv_handle_t *)&tick_timer, nullptr);
+		store_standin_destroy(store);
+		run_for(50);
+	}
+	static void on_changed(void *data)
+	{
+		((fixture *)data)->take_actions();
+	}
+	static void on_version_read(void *, uint64_t)
+	{
+	}
+	static void on_tick(uv_timer_t *timer)
+	{
+		fixture *f = (fixture *)timer->data;
+		uint64_t now_ms = uv_now(f->loop);
+
+		membership_tick(f->membership, now_ms, &f->outbox);
+		distribution_tick(f->distribution, now_ms, &f->outbox);
+		bootstrap_tick(f->bootstrap);
+		f->take_actions();
+		outbox_clear(&f->outbox);
+	}
+	void take_actions()
+	{
+		struct distribution_action action;
+
+		while (distribution_next_action(distribution, &action)) {
+			switch (action.type) {
+			case DISTRIBUTION_APPLY:
+				active = action.version;
+				rules_destroy(action.u.apply.rules);
+				break;
+			case DISTRIBUTION_WATCH:
+			case DISTRIBUTION_UNWATCH:
+				bootstrap_set_watching(
+					bootstrap,
+					action.type == DISTRIBUTION_WATCH);
+				break;
+			case DISTRIBUTION_REJECT:
+				ADD_FAILURE() << "a version was rejected";
+				break;
+			}
+		}
+	}
+	void run_for(uint64_t ms)
+	{
+		uint64_t end = uv_hrtime() / 1000000 + ms;
+
+		while (uv_hrtime() / 1000000 < end) {
+			uv_run(loop, UV_RUN_NOWAIT);
+			usleep(500);
+		}
+	}
+	void put_version()
+	{
+		const std::string text = "service shop deadline=" +
+					 std::to_string(1000 + ++change) +
+					 " # Ilona\n";
+		size_t size;
+		char *value = envelope_build(change, nullptr, text.data(),
+					     text.size(), &size);
+
+		store_standin_put(store, interface_config_key(INTERFACE_FESCUE),
+				  value, size);
+		g_free(value);
+	}
+	/* Returns whether another version becomes active in time. */
+	bool becomes_active(uint64_t within_ms)
+	{
+		uint64_t before = active;
+		uint64_t end = uv_hrtime() / 1000000 + within_ms;
+
+		while (active == before && uv_hrtime() / 1000000 < end)
+			run_for(5);
+		return active != before;
+	}
+	void start_with_watch()
+	{
+		put_version();
+		ASSERT_TRUE(becomes_active(5000));
+		run_for(1500); /* the node joins and starts its watch */
+		put_version();
+		ASSERT_TRUE(becomes_active(ACTIVE_WITHIN_MS));
+	}
+};
+
+/*
+ * Guards against a watch that is sent during a silent outage of the store and
+ * is waited for long after the store is back: no change was seen for 27 s.
+ */
+TEST(bootstrap, change_after_silent_outage_is_active_in_time)
+{
+	fixture f(store_address);
+
+	f.start_with_watch();
+	/* The pause of the watch after a change ends during the outage. */
+	store_standin_set_outage(f.store, OUTAGE_HANG);
+	f.run_for(2000);
+	store_standin_set_outage(f.store, OUTAGE_NONE);
+	f.put_version();
+	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
+}
+
+/*
+ * Guards against waiting on connections that went silent without a reset: the
+ * one of the watch, and then the idle ones, on which the next call is sent.
+ */
+TEST(bootstrap, change_after_connections_went_silent_is_active_in_time)
+{
+	silent_proxy proxy(store_address);
+	fixture f(proxy.address);
+
+	f.start_with_watch();
+	f.run_for(1000); /* the next watch waits */
+	proxy.silence();
+	f.put_version();
+	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
+	f.put_version();
+	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
+}
+
+} // namespace
