--- a/src/http_client.c
+++ b/src/http_client.c
@@ -69,13 +69,18 @@
 		conn_close(g_queue_peek_tail(&pool->idle));
 }
 
+void http_pool_close_idle(struct http_pool *pool)
+{
+	while (!g_queue_is_empty(&pool->idle))
+		conn_close(g_queue_peek_head(&pool->idle));
+}
+
 void http_pool_release(struct http_pool *pool)
 {
 	if (!pool)
 		return;
 	pool->released = 1;
-	while (!g_queue_is_empty(&pool->idle))
-		conn_close(g_queue_peek_head(&pool->idle));
+	http_pool_close_idle(pool);
 	pool_free_if_unused(pool);
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -58,6 +58,9 @@
 /* Change idle_max; idle connections in excess of it are closed. */
 void http_pool_set_idle_max(struct http_pool *pool, size_t idle_max);
 
+/* Close the idle connections, so that later calls open new ones. */
+void http_pool_close_idle(struct http_pool *pool);
+
 /*
  * Close the idle connections, and free the pool once its last call has ended.
  * No new calls may be sent. NULL is ignored.
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -2,13 +2,15 @@
  * Tests of the store client against a scripted server whose answers are lost,
  * missing, refused or malformed.
  */
-#include "scripted_peer.h"
+#include "silent_proxy.h"
 
 #include <csignal>
+#include <memory>
 
 extern "C" {
 #include "fescue/error.h"
 #include "platform/store_client.h"
+#include "standin/store_standin.h"
 }
 
 namespace
@@ -41,7 +43,9 @@
 	~store_fixture()
 	{
 		store_client_destroy(client);
-		uv_run(loop, UV_RUN_DEFAULT);
+		/* A server on the loop keeps handles, so it may not end. */
+		for (int i = 0; i < 20 && uv_run(loop, UV_RUN_NOWAIT); i++)
+			usleep(1000);
 	}
 	static void on_done(void *data, const struct store_result *r)
 	{
@@ -220,4 +224,37 @@
 	EXPECT_EQ(peer.connections, 2);
 }
 
+/*
+ * Guards against one timeout per idle connection when all connections went
+ * silent at the same time: only the first call may fail.
+ */
+TEST(store_client, only_first_call_fails_after_connections_went_silent)
+{
+	const struct address store_address = { 0x7f000001, 47172 };
+	struct store *store = nullptr;
+
+	signal(SIGPIPE, SIG_IGN);
+	ASSERT_EQ(store_standin_create(uv_default_loop(), store_address,
+				       &store),
+		  FESCUE_OK);
+	store_standin_put(store, "op/config", "a", 1);
+	auto proxy = std::make_unique<silent_proxy>(store_address);
+	store_fixture s(proxy->address);
+	int others = 0;
+	auto count = [](void *data, const struct store_result *r) {
+		*(int *)data += !r->error;
+	};
+
+	store_get(s.client, "op/config", count, &others);
+	store_get(s.client, "op/config", count, &others);
+	EXPECT_EQ(s.get().error, FESCUE_OK);
+	while (others < 2)
+		uv_run(s.loop, UV_RUN_ONCE);
+	proxy->silence();
+	EXPECT_EQ(s.get().error, FESCUE_ETIMEOUT);
+	EXPECT_EQ(s.get().error, FESCUE_OK);
+	store_standin_destroy(store);
+	proxy.reset();
+}
+
 } // namespace
