node: store that a backend server is leaving before acknowledging it

Cause: the leaving was kept by processes only, the node and its peers. When all are killed, the late heartbeat is the first one that the new process gets, and a first heartbeat is believed.

Ruled out: a heartbeat newer than the leaving (its sequence was lower), and peers that routed by an old view (all had restarted).

The leaving is now written to the store before it is acknowledged, or after 0.5 s if the store does not answer. A node that starts reads the record before it announces a backend server. What peers and the store remember may differ, so both are kept.

Before: the three tests of test_node failed. One read more at the start of a node, one write more for each backend server that leaves.

--- a/fescue/announcement.h
+++ b/fescue/announcement.h
@@ -35,12 +35,16 @@
 /* Hash that identifies an incarnation; 0 if it has no id. */
 uint64_t announcement_fingerprint(const struct announcement *announcement);
 
+/* Who remembers, over a restart of the node, which backend server left. */
+enum leaving_source { LEAVING_FROM_PEERS, LEAVING_FROM_STORE, LEAVING_SOURCES };
+
 /* Last known state of the backend server; zero-initialised: none is known. */
 struct announcement_record {
 	struct announcement current;
 	int known; /* current is valid */
 	int leaving; /* kept until another incarnation starts */
-	uint64_t left; /* fingerprint of one known to have left; 0: none */
+	/* Fingerprints of ones known to have left; 0: none. */
+	uint64_t left[LEAVING_SOURCES];
 };
 
 /*
@@ -55,9 +59,10 @@
 /*
  * Restore the leaving state of the incarnation with this fingerprint, which
  * announced that it leaves before this node restarted. Numbered heartbeats of
- * it do not revoke the state. 0 clears the stored fingerprint.
+ * it do not revoke the state. 0 clears the fingerprint of this source.
  */
 void announcement_record_restore_leaving(struct announcement_record *record,
+					 enum leaving_source source,
 					 uint64_t left);
 
 /*
--- a/src/announcement.c
+++ b/src/announcement.c
@@ -24,10 +24,22 @@
 	return *id ? XXH64(id, strlen(id), announcement->started_ms) : 0;
 }
 
+static int is_known_to_have_left(const struct announcement_record *record,
+				 const struct announcement *announcement)
+{
+	uint64_t fingerprint = announcement_fingerprint(announcement);
+
+	for (int i = 0; i < LEAVING_SOURCES; i++)
+		if (fingerprint && record->left[i] == fingerprint)
+			return 1;
+	return 0;
+}
+
 void announcement_record_restore_leaving(struct announcement_record *record,
+					 enum leaving_source source,
 					 uint64_t left)
 {
-	record->left = left;
+	record->left[source] = left;
 	if (left && record->known &&
 	    announcement_fingerprint(&record->current) == left)
 		record->leaving = 1;
@@ -54,10 +66,8 @@
 		return ANNOUNCEMENT_STALE;
 	record->current = *announcement;
 	record->known = 1;
-	record->leaving =
-		announcement->leaving ||
-		(record->left &&
-		 announcement_fingerprint(announcement) == record->left);
+	record->leaving = announcement->leaving ||
+			  is_known_to_have_left(record, announcement);
 	return ANNOUNCEMENT_NEW;
 }
 
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -124,7 +124,8 @@
 static void publish_status(struct backend_server *b)
 {
 	const struct announcement *current = &b->record.current;
-	int delay_passed = backend_now_ms(b) >= b->announce_at_ms;
+	int delay_passed = backend_now_ms(b) >= b->announce_at_ms &&
+			   !b->awaiting_leaving;
 	struct backend_status status = {
 		.service = b->pool && delay_passed ? current->service : "",
 		.slots = admission_slots(b->admission),
@@ -445,16 +446,25 @@
 	handle_leaving(b, was_leaving);
 }
 
-void backend_server_restore_leaving(struct backend_server *b, uint64_t left)
+void backend_server_restore_leaving(struct backend_server *b,
+				    enum leaving_source source, uint64_t left)
 {
 	int was_leaving = b->record.leaving;
 
-	if (left == b->record.left)
+	if (left == b->record.left[source])
 		return;
-	announcement_record_restore_leaving(&b->record, left);
+	announcement_record_restore_leaving(&b->record, source, left);
 	handle_leaving(b, was_leaving);
 }
 
+void backend_server_set_leaving_known(struct backend_server *b)
+{
+	if (!b->awaiting_leaving)
+		return;
+	b->awaiting_leaving = 0;
+	publish_status(b);
+}
+
 static void expire_announcement(struct backend_server *b)
 {
 	if (!b->pool || backend_now_ms(b) < b->announcement_expires_ms)
@@ -495,6 +505,7 @@
 
 	b->context = context;
 	b->settings = *settings;
+	b->awaiting_leaving = settings->await_leaving;
 	b->announce_at_ms =
 		node_context_now_ms(context) + settings->announce_delay_ms;
 	b->admission = admission_create(settings->policy);
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -24,6 +24,11 @@
 struct backend_server_settings {
 	enum admission_policy policy;
 	uint32_t announce_delay_ms; /* from the start of the node */
+	/*
+	 * 1: announce no backend server before it is known which one had left
+	 * before the node started, see backend_server_set_leaving_known().
+	 */
+	int await_leaving;
 	struct quarantine *quarantine;
 	struct crash_reports *crashes;
 	/* Called when the status may have changed; valid during the call. */
@@ -54,10 +59,14 @@
 
 /*
  * Restores that the backend server with this announcement_fingerprint() is
- * leaving. It announced so before this node restarted; peers still hold it.
+ * leaving. It announced so before this node restarted; peers or the store still
+ * hold it.
  */
 void backend_server_restore_leaving(struct backend_server *backend,
-				    uint64_t left);
+				    enum leaving_source source, uint64_t left);
+
+/* The backend server may be announced: see await_leaving. */
+void backend_server_set_leaving_known(struct backend_server *backend);
 
 /*
  * Marks the backend server with this id, or the current one for NULL, as
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -41,6 +41,7 @@
 	uint32_t connections_limit; /* of the rules file; 0: none */
 	uint64_t announcement_expires_ms; /* renewed by each heartbeat */
 	uint64_t announce_at_ms; /* end of the announce delay; 0: published */
+	int awaiting_leaving; /* see struct backend_server_settings */
 	int unreachable; /* connections fail; cleared by the next heartbeat */
 	int draining; /* the node itself is stopping */
 	uint64_t next_ticket;
--- a/src/node.c
+++ b/src/node.c
@@ -111,7 +111,8 @@
 			   &node->outbox);
 	left = membership_self(node->membership)->left;
 	if (left && node->backend)
-		backend_server_restore_leaving(node->backend, left);
+		backend_server_restore_leaving(node->backend,
+					       LEAVING_FROM_PEERS, left);
 	if (gossip)
 		node_record_version(node, gossip->version, "a peer");
 	if (gossip)
@@ -177,6 +178,7 @@
 	struct node *node = data;
 	uint64_t before = membership_generation(node->membership);
 
+	node_set_leaving(node, status->left);
 	membership_set_backend(node->membership, status->service, status->slots,
 			       status->serving, status->left);
 	/* Peers route by this; do not wait for the next periodic probe. */
@@ -240,6 +242,7 @@
 	distribution_tick(node->distribution, now_ms, &node->outbox);
 	bootstrap_tick(node->bootstrap);
 	crash_reports_tick(node->crash_reports);
+	node_leaving_tick(node);
 	backend_server_tick(node->backend);
 	caller_table_set_nodes(node->callers,
 			       membership_up_count(node->membership));
@@ -311,6 +314,7 @@
 	struct backend_server_settings backend = {
 		.policy = (enum admission_policy)s->admission_policy,
 		.announce_delay_ms = s->announce_delay_ms,
+		.await_leaving = 1,
 		.changed = on_backend_changed,
 		.data = node,
 	};
@@ -330,6 +334,7 @@
 	node->handlers = (struct platform_handlers){
 		.announce = handle_announcement,
 		.end = handle_backend_leave,
+		.acknowledge = node_acknowledge,
 		.is_ready = handle_readiness,
 		.data = node,
 	};
@@ -441,6 +446,7 @@
 	node->distribution =
 		distribution_create(&s->distribution, node->membership);
 	create_bootstrap(node, seed + 1);
+	node_create_leaving(node, seed + 3);
 	create_tasks(node, seed + 2);
 	create_view(node);
 }
@@ -555,6 +561,7 @@
 	backend_server_destroy(node->backend);
 	crash_reports_destroy(node->crash_reports);
 	quarantine_destroy(node->quarantine);
+	node_destroy_leaving(node);
 	bootstrap_destroy(node->bootstrap);
 	store_client_destroy(node->store);
 	distribution_destroy(node->distribution);
--- a/src/node.h
+++ b/src/node.h
@@ -23,7 +23,9 @@
 #include "platform/store_client.h"
 #include "transport.h"
 
+struct ack_queue;
 struct crash_reports;
+struct leaving_record;
 
 struct node {
 	uv_loop_t *loop;
@@ -41,6 +43,9 @@
 	struct store_client *store;
 	struct bootstrap *bootstrap; /* peer discovery, store watch, floor */
 	struct backend_server *backend; /* the local one and its calls */
+	struct leaving_record *leaving; /* of the backend server */
+	struct ack_queue *acks; /* of announcements that are not stored yet */
+	uint64_t floor_known_ms; /* since when the floor is known; or 0 */
 	struct caller_table *callers; /* calls received on the caller port */
 	struct quarantine *quarantine;
 	struct crash_reports *crash_reports;
@@ -93,6 +98,22 @@
 /* Run the timers of a stop that is under way; call on each tick. */
 void node_advance_stop(struct node *node);
 
+/* Create the leaving record and the queue of acknowledgements. */
+void node_create_leaving(struct node *node, uint32_t seed);
+void node_destroy_leaving(struct node *node);
+
+/* Store which backend server is leaving; 0: none. */
+void node_set_leaving(struct node *node, uint64_t left);
+
+/*
+ * Acknowledge a request of the backend server once the record of its leaving,
+ * if any, is stored, and after LEAVING_ACK_MAX_MS at the latest.
+ */
+void node_acknowledge(void *data, struct http_exchange *exchange);
+
+/* Run the timers of the leaving record; call on each tick. */
+void node_leaving_tick(struct node *node);
+
 /* Send the packets that modules added to the outbox. */
 void node_flush(struct node *node);
 
--- a/test/test_announcement.cc
+++ b/test/test_announcement.cc
@@ -93,12 +93,12 @@
 	fixture known, unknown, plain;
 
 	known.update(left);
-	announcement_record_restore_leaving(&known.record,
+	announcement_record_restore_leaving(&known.record, LEAVING_FROM_PEERS,
 					    announcement_fingerprint(&left));
 	EXPECT_TRUE(known.record.leaving);
 	known.update(heartbeat("a", 10, 8));
 	EXPECT_TRUE(known.record.leaving);
-	announcement_record_restore_leaving(&unknown.record,
+	announcement_record_restore_leaving(&unknown.record, LEAVING_FROM_PEERS,
 					    announcement_fingerprint(&left));
 	unknown.update(left);
 	EXPECT_TRUE(unknown.record.leaving);
@@ -106,11 +106,38 @@
 	unknown.update(heartbeat("a", 11, 1));
 	EXPECT_FALSE(unknown.record.leaving);
 	EXPECT_EQ(announcement_fingerprint(&plain.record.current), 0u);
-	announcement_record_restore_leaving(&plain.record, 0);
+	announcement_record_restore_leaving(&plain.record, LEAVING_FROM_PEERS,
+					    0);
 	plain.update(heartbeat("", 0, 0));
 	EXPECT_FALSE(plain.record.leaving);
 }
 
+/* Peers and store may remember different runs; neither hides the other's. */
+TEST(announcement, leaving_is_restored_from_peers_and_store)
+{
+	struct announcement earlier = heartbeat("a", 10, 7);
+	struct announcement later = heartbeat("b", 20, 3);
+
+	for (int order = 0; order < 2; order++) {
+		fixture f;
+		enum leaving_source first = order ? LEAVING_FROM_STORE :
+						    LEAVING_FROM_PEERS;
+		enum leaving_source second = order ? LEAVING_FROM_PEERS :
+						     LEAVING_FROM_STORE;
+
+		announcement_record_restore_leaving(
+			&f.record, first, announcement_fingerprint(&later));
+		announcement_record_restore_leaving(
+			&f.record, second, announcement_fingerprint(&earlier));
+		f.update(earlier);
+		EXPECT_TRUE(f.record.leaving);
+		f.update(later);
+		EXPECT_TRUE(f.record.leaving);
+		f.update(heartbeat("c", 30, 1));
+		EXPECT_FALSE(f.record.leaving);
+	}
+}
+
 /* Without id and sequence number, the last heartbeat counts. */
 TEST(announcement, heartbeat_without_sequence_revokes_leaving)
 {
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -226,7 +226,8 @@
 	f.call(2);
 	while (hanging_peer.requests.empty())
 		f.run_loop();
-	backend_server_restore_leaving(f.backend, announcement_fingerprint(&a));
+	backend_server_restore_leaving(f.backend, LEAVING_FROM_PEERS,
+				       announcement_fingerprint(&a));
 	EXPECT_EQ(f.outcomes().size(), 1u);
 	f.call(3);
 	f.run_loop();
--- /dev/null
+++ b/test/test_node.cc
@@ -0,0 +1,239 @@
+/*
+ * Tests of a whole node with the platform's interface, against the stand-in of
+ * the store, in real time.
+ */
+#include "support.h"
+
+#include <csignal>
+#include <memory>
+
+extern "C" {
+#include "fescue/error.h"
+#include "http_client.h"
+#include "node.h"
+#include "standin/store_standin.h"
+}
+
+namespace
+{
+
+const struct address store_address = { 0x7f000001, 47181 };
+
+/* Servers of earlier nodes keep their ports until the program ends. */
+uint16_t take_ports(uint16_t count)
+{
+	static uint16_t next_port = 47182;
+
+	next_port = (uint16_t)(next_port + count);
+	return (uint16_t)(next_port - count);
+}
+
+uint64_t real_ms()
+{
+	return uv_hrtime() / 1000000;
+}
+
+/* A node on a loop of its own. Ending it is like SIGKILL. */
+struct test_node {
+	uv_loop_t loop;
+	struct node_settings settings;
+	struct node *node = nullptr;
+	struct event_log *events = nullptr;
+	struct address announcements;
+
+	explicit test_node(uint16_t peer_port)
+	{
+		uint16_t first_port = take_ports(3);
+
+		uv_loop_init(&loop);
+		node_settings_init(&settings);
+		settings.address = 0x7f000001;
+		settings.peer_port = peer_port;
+		settings.operator_port = first_port;
+		settings.operator_address = 0x7f000001;
+		settings.callers = { 0x7f000001, (uint16_t)(first_port + 1) };
+		settings.announcements = { 0x7f000001,
+					   (uint16_t)(first_port + 2) };
+		settings.store = store_address;
+		settings.start_jitter_ms = 20;
+		settings.announce_delay_ms = 0;
+		settings.interface = INTERFACE_PLATFORM;
+		settings.floor_policy = FLOOR_PROMPT;
+		strcpy(settings.failure_domain, "a");
+		announcements = settings.announcements;
+		EXPECT_EQ(event_log_open(nullptr, "node", &events), FESCUE_OK);
+		EXPECT_EQ(node_create(&loop, &settings, nullptr, events, &node),
+			  FESCUE_OK);
+	}
+	~test_node()
+	{
+		/* Signal handles are also known outside of their loop. */
+		for (uv_signal_t *signal :
+		     { &node->sigterm, &node->sigint, &node->sighup })
+			uv_signal_stop(signal);
+		node_destroy(node);
+		event_log_close(events);
+	}
+	bool is_serving() const
+	{
+		const struct host *self = membership_self(node->membership);
+
+		return host_is_serving(self);
+	}
+};
+
+/* The store, and the backend server beside the node. */
+struct fixture {
+	uv_loop_t *loop = uv_default_loop();
+	struct store *store = nullptr;
+	uint16_t peer_port = take_ports(1);
+	std::unique_ptr<test_node> node; /* runs if set */
+	int status = 0; /* of the last request; 0: none */
+
+	fixture()
+	{
+		signal(SIGPIPE, SIG_IGN);
+		uv_update_time(loop);
+		EXPECT_EQ(store_standin_create(loop, store_address, &store),
+			  FESCUE_OK);
+	}
+	~fixture()
+	{
+		kill_node();
+		store_standin_destroy(store);
+		run_for(50);
+	}
+	void start_node()
+	{
+		node = std::make_unique<test_node>(peer_port);
+		run_for(300);
+	}
+	void kill_node()
+	{
+		node.reset();
+	}
+	void run_for(uint64_t ms)
+	{
+		uint64_t end = real_ms() + ms;
+
+		while (real_ms() < end) {
+			uv_run(loop, UV_RUN_NOWAIT);
+			if (node)
+				uv_run(&node->loop, UV_RUN_NOWAIT);
+			usleep(200);
+		}
+	}
+	static void on_done(void *data, const struct http_result *result)
+	{
+		((fixture *)data)->status = result->error ? -1 : result->status;
+	}
+	/* Returns the time to the acknowledgement, in ms, or -1. */
+	int64_t send(const char *method, const char *id,
+		     const std::string &body)
+	{
+		struct http_pool *pool =
+			http_pool_create(loop, node->announcements, 1);
+		std::string path = std::string("/fescuehitch/instances/") + id;
+		struct http_request request = {};
+		uint64_t start = real_ms();
+
+		request.method = method;
+		request.path = path.c_str();
+		request.body = body.data();
+		request.body_size = body.size();
+		request.timeout_ms = 1000;
+		status = 0;
+		http_pool_send(pool, &request, on_done, this);
+		while (!status)
+			run_for(1);
+		http_pool_release(pool);
+		return status == 200 ? (int64_t)(real_ms() - start) : -1;
+	}
+	int64_t heartbeat(const char *id, int sequence, int born = 1000)
+	{
+		return send(
+			"PUT", id,
+			"{\"address\":\"127.0.0.1:47189\",\"born\":" +
+				std::to_string(born) +
+				",\"info\":{\"service\":\"shop\",\"slots\":4},"
+				"\"status\":{\"state\":\"ready\",\"sequence\":" +
+				std::to_string(sequence) + "}}");
+	}
+};
+
+/*
+ * Guards against a late heartbeat that brings a backend server back that has
+ * left, after all nodes that knew of it were killed at the same time.
+ */
+TEST(node, left_backend_server_stays_left_after_all_nodes_are_killed)
+{
+	fixture f;
+
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	f.run_for(300);
+	ASSERT_TRUE(f.node->is_serving());
+	ASSERT_GE(f.send("DELETE", "i-1", ""), 0);
+	EXPECT_FALSE(f.node->is_serving());
+	f.kill_node();
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 4), 0);
+	f.run_for(3000);
+	EXPECT_FALSE(f.node->is_serving());
+	/* A later run of a backend server under the same id serves. */
+	ASSERT_GE(f.heartbeat("i-1", 1, 2000), 0);
+	f.run_for(100);
+	EXPECT_TRUE(f.node->is_serving());
+}
+
+/* As above, with the late heartbeat before the record could be read. */
+TEST(node, heartbeat_before_the_record_is_read_does_not_announce)
+{
+	fixture f;
+
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	ASSERT_TRUE(f.node->is_serving());
+	ASSERT_GE(f.send("DELETE", "i-1", ""), 0);
+	f.kill_node();
+	store_standin_set_outage(f.store, OUTAGE_REFUSE);
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 4), 0);
+	for (int i = 0; i < 30; i++) {
+		f.run_for(100);
+		ASSERT_FALSE(f.node->is_serving());
+	}
+	store_standin_set_outage(f.store, OUTAGE_NONE);
+	for (int i = 0; i < 30; i++) {
+		f.run_for(100);
+		ASSERT_FALSE(f.node->is_serving());
+	}
+}
+
+/*
+ * The leaving is stored before it is acknowledged, so that a kill right after
+ * the acknowledgement loses nothing; a store that is down delays the
+ * acknowledgement for less than the second that the backend server waits.
+ */
+TEST(node, leaving_is_stored_before_it_is_acknowledged)
+{
+	fixture f;
+	int64_t took_ms;
+
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	store_standin_set_outage(f.store, OUTAGE_HANG);
+	took_ms = f.send("DELETE", "i-1", "");
+	EXPECT_GE(took_ms, 300);
+	EXPECT_LT(took_ms, 900);
+	EXPECT_FALSE(f.node->is_serving());
+	store_standin_set_outage(f.store, OUTAGE_NONE);
+	f.run_for(2500);
+	f.kill_node();
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 4), 0);
+	f.run_for(1000);
+	EXPECT_FALSE(f.node->is_serving());
+}
+
+} // namespace
