backend server: count only runs as successes of a suspected request

Cause: every complete answer counted as a completed run, also one that says "not run" (503, 429, 400 with the header, 421) and one that is not signed. A completed run removes the crashes of a request and hides later ones for ten minutes.

Ruled out: lost crash reports (all hosts acknowledged them) and differing fingerprints (method, path and body were the same).

The outcome that the caller is told now decides.

--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -192,7 +192,7 @@
 					    backend_now_ms(b));
 	log_result(c, result);
 	record_backend_result(b, result);
-	if (!result->error)
+	if (c->answer->call_answer->outcome == FESCUE__OUTCOME__RAN)
 		quarantine_record_success(b->settings.quarantine,
 					  c->fingerprint, backend_now_ms(b));
 	if (c->answer->call_answer->suspect && b->pool) {
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -9,6 +9,7 @@
 extern "C" {
 #include "backend_server.h"
 #include "events.h"
+#include "platform/names.h"
 }
 
 namespace
@@ -235,4 +236,49 @@
 	EXPECT_EQ(f.outcomes().size(), 2u);
 }
 
+/*
+ * Guards against an answer that says "not run" and counts as a completed run:
+ * a request that crashes backend servers was let through for ten minutes after
+ * one of them had shed it.
+ */
+TEST(backend_server, only_completed_runs_clear_the_quarantine)
+{
+	const char *signature = PLATFORM_HEADER_SIGNATURE ": s\r\n";
+	const char *not_executed = PLATFORM_HEADER_NOT_EXECUTED ": full\r\n";
+	const struct {
+		std::string status, headers;
+		bool ran;
+	} answers[] = {
+		{ "503 X", not_executed, false },
+		{ "503 X", std::string(not_executed) + signature, false },
+		{ "429 X", not_executed, false },
+		{ "400 X", not_executed, false },
+		{ "421 X", signature, false },
+		{ "200 X", "", false }, /* not the backend server's answer */
+		{ "200 X", signature, true },
+		{ "500 X", signature, true },
+	};
+	uint64_t fingerprint =
+		quarantine_fingerprint("s", "GET", "/x", nullptr, 0);
+
+	for (const auto &answer : answers) {
+		scripted_peer peer({ { "HTTP/1.1 " + answer.status + "\r\n" +
+					       answer.headers +
+					       "content-length: 0\r\n\r\n",
+				       step::CLOSE } });
+		fixture f(peer.address);
+
+		f.call(1);
+		while (f.outcomes().empty())
+			f.run_loop();
+		for (uint64_t host = 1; host <= QUARANTINE_CRASH_LIMIT; host++)
+			quarantine_record_crash(f.quarantine, fingerprint, host,
+						1, uv_now(f.loop));
+		EXPECT_EQ(quarantine_refuses(f.quarantine, fingerprint,
+					     uv_now(f.loop)),
+			  !answer.ran)
+			<< answer.status << " " << answer.headers;
+	}
+}
+
 } // namespace
