--- a/test/test_node.cc
+++ b/test/test_node.cc
@@ -123,6 +123,15 @@
 			usleep(200);
 		}
 	}
+	void put_config(int version)
+	{
+		const std::string text =
+			"{\"version\":" + std::to_string(version) +
+			",\"resources\":[{\"type\":\"services\",\"metadata\":"
+			"{\"name\":\"shop\"},\"spec\":{}}]}";
+
+		store_standin_put(store, "op/config", text.data(), text.size());
+	}
 	static void on_done(void *data, const struct http_result *result)
 	{
 		((fixture *)data)->status = result->error ? -1 : result->status;
@@ -149,13 +158,16 @@
 		http_pool_release(pool);
 		return status == 200 ? (int64_t)(real_ms() - start) : -1;
 	}
-	int64_t heartbeat(const char *id, int sequence, int born = 1000)
+	int64_t heartbeat(const char *id, int sequence, int born = 1000,
+			  int slots = 4)
 	{
 		return send(
 			"PUT", id,
 			"{\"address\":\"127.0.0.1:47189\",\"born\":" +
 				std::to_string(born) +
-				",\"info\":{\"service\":\"shop\",\"slots\":4},"
+				",\"info\":{\"service\":\"shop\",\"slots\":" +
+				std::to_string(slots) +
+				"},"
 				"\"status\":{\"state\":\"ready\",\"sequence\":" +
 				std::to_string(sequence) + "}}");
 	}
@@ -236,4 +248,91 @@
 	EXPECT_FALSE(f.node->is_serving());
 }
 
+/*
+ * Guards against odd heartbeats of another writer that end the node, stop it
+ * from following the backend server, or replace it.
+ */
+TEST(node, odd_heartbeats_leave_the_backend_server_in_use)
+{
+	const std::string deep(100000, '['), braces(5000, '{');
+	const std::string big(400, '9');
+	auto text = [](const std::string &address, const std::string &slots,
+		       const std::string &sequence, const std::string &born) {
+		return "{\"address\":\"" + address + "\",\"born\":" + born +
+		       ",\"info\":{\"service\":\"shop\",\"slots\":" + slots +
+		       "},\"status\":{\"state\":\"ready\",\"sequence\":" +
+		       sequence + "}}";
+	};
+	const std::string address = "127.0.0.1:47189";
+	const std::string odd[] = {
+		deep,
+		"{\"info\":" + deep,
+		braces,
+		text(address, deep + std::string(100000, ']'), "6", "1000"),
+		text(address, "4", big, "1000"),
+		text(address, "4", "9223372036854775807", "1000"),
+		text(address, "4", "1e999", "1000"),
+		text(address, "4", "6", big),
+		text(address, "4", "6", "9223372036854775807"),
+		text(address, "4", "-1", "1000"),
+		text(address, "4294967300", "6", "1000"),
+		text(address, "0", "6", "1000"),
+		text("127.0.0.1:65536", "4", "6", "1000"),
+		text("127.0.0.1:0", "4", "6", "1000"),
+		text("127.0.0.1:-1", "4", "6", "1000"),
+		text("127.0.0.1:18446744073709551617", "4", "6", "1000"),
+		std::string("\0\xff\xfe", 3),
+		"",
+	};
+	fixture f;
+
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	for (const std::string &body : odd) {
+		EXPECT_EQ(f.send("PUT", "i-1", body), -1) << body.substr(0, 80);
+		EXPECT_EQ(f.status, 400) << body.substr(0, 80);
+		EXPECT_TRUE(f.node->is_serving());
+		EXPECT_EQ(membership_self(f.node->node->membership)->slots, 4u);
+	}
+	/* Its own later heartbeats count. */
+	ASSERT_GE(f.heartbeat("i-1", 6, 1000, 5), 0);
+	EXPECT_EQ(membership_self(f.node->node->membership)->slots, 5u);
+}
+
+/* The same for the list of nodes and the configuration in the store. */
+TEST(node, odd_entries_in_the_store_do_not_stop_the_node)
+{
+	const std::string deep(100000, '['), big(300, '9');
+	const std::string odd[] = {
+		deep, big, "127.0.0.1:65536",	      "127.0.0.1:" + big,
+		":",  "",  std::string("\0\xff:1", 4)
+	};
+	fixture f;
+	int n = 0;
+
+	for (const std::string &value : odd) {
+		const std::string key =
+			"fescue/rendezvous/a/" + std::to_string(n++);
+
+		store_standin_put(f.store, key.c_str(), value.data(),
+				  value.size());
+	}
+	store_standin_put(
+		f.store,
+		("fescue/leaving/127.0.0.1:" + std::to_string(f.peer_port))
+			.c_str(),
+		deep.data(), deep.size());
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	f.run_for(300);
+	EXPECT_TRUE(f.node->is_serving());
+	for (const std::string &value : odd)
+		store_standin_put(f.store, "op/config", value.data(),
+				  value.size());
+	f.run_for(500);
+	f.put_config(7);
+	f.run_for(3000);
+	EXPECT_EQ(distribution_version(f.node->node->distribution), 7u);
+}
+
 } // namespace
