http server: send no answer to a caller that has closed its side

Cause: to release the request, the HTTP server ended it with a 408 of h2o's when the caller's stream ended, whatever had become of it. Ruled out: an answer of the router (none was logged for these requests).

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -103,10 +103,11 @@
 		return;
 	}
 	notify_closed(exchange);
-	stop_watching(exchange);
-	exchange->req->http1_is_persistent = 0;
-	h2o_send_error_generic(exchange->req, 408, "Closed", "closed",
-			       H2O_SEND_ERROR_HTTP1_CLOSE_CONNECTION);
+	/*
+	 * A caller that has closed only its side can read an answer. None is
+	 * sent: the request may run, or may not.
+	 */
+	http_exchange_abort(exchange);
 }
 
 static void start_watching(struct http_exchange *exchange)
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -1,6 +1,8 @@
 #include "support.h"
 
 #include <csignal>
+#include <sys/socket.h>
+#include <unistd.h>
 
 extern "C" {
 #include "fescue/error.h"
@@ -209,6 +211,32 @@
 	EXPECT_EQ(f.done, 0);
 }
 
+/*
+ * Guards against an answer that says "not run" to a caller that has closed its
+ * side of the connection while its request runs: it got a 408.
+ */
+TEST(http, caller_that_half_closes_gets_no_answer)
+{
+	fixture f;
+	struct sockaddr_in in = address_to_sockaddr(loopback);
+	const char request[] = "POST /hold HTTP/1.1\r\nHost: a\r\n"
+			       "Content-Length: 1\r\n\r\nx";
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	char bytes[256];
+
+	ASSERT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	ASSERT_EQ(write(fd, request, sizeof(request) - 1),
+		  (ssize_t)sizeof(request) - 1);
+	f.run(50);
+	ASSERT_NE(f.pending_exchange, nullptr);
+	shutdown(fd, SHUT_WR);
+	f.run(50);
+	EXPECT_EQ(f.closed, 1);
+	EXPECT_LE(recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT), 0);
+	EXPECT_NE(errno, EAGAIN) << "the connection is still open";
+	close(fd);
+}
+
 TEST(http, delayed_answer_reaches_its_caller)
 {
 	fixture f;
