node: a restart beside peers does not wait for the leaving record

While the store was down, each node that restarted kept its backend server out of use for 2 s after it had the newest version, because it could not read whether that one had left.

Peers that ran before the node started remember the leaving, and pass it on with their table. With such a table the node now announces its backend server at once. Wall clocks of hosts differ, so an earlier start means 10 s earlier.

--- a/src/node_leaving.c
+++ b/src/node_leaving.c
@@ -16,11 +16,18 @@
 /* An acknowledgement must arrive within a second. */
 #define LEAVING_ACK_MAX_MS 500
 /*
- * A node that cannot read the record while its peers know the newest version
- * announces its backend server after this: peers that ran all the while have
- * passed the record on by then.
+ * A node that cannot read the record, and has no peer that ran before it, waits
+ * for so long after it has learned the newest version.
  */
 #define LEAVING_WAIT_MAX_MS 2000
+/* Beyond the differences between the wall clocks of hosts. */
+#define EARLIER_START_MIN_US ((uint64_t)10 * 1000000)
+
+static void set_known(struct node *node)
+{
+	node->leaving_known = 1;
+	backend_server_set_leaving_known(node->backend);
+}
 
 static void on_loaded(void *data, uint64_t left)
 {
@@ -30,7 +37,7 @@
 		log_event(LOG_STATE, "leaving_record_loaded",
 			  "\"left\":\"%016" PRIx64 "\"", left);
 	backend_server_restore_leaving(node->backend, LEAVING_FROM_STORE, left);
-	backend_server_set_leaving_known(node->backend);
+	set_known(node);
 }
 
 static void on_saved(void *data)
@@ -80,16 +87,41 @@
 			      node_now_ms(node) + LEAVING_ACK_MAX_MS);
 }
 
+/*
+ * Returns whether the table came from peers one of which ran before this node
+ * started. Such peers remember which backend server left.
+ */
+static int peers_remember(const struct node *node)
+{
+	const struct membership *membership = node->membership;
+	uint64_t own = membership_self(membership)->epoch;
+
+	if (!membership_is_synced(membership))
+		return 0;
+	for (size_t i = 0; i < membership_count(membership); i++) {
+		const struct host *host = membership_host(membership, i);
+
+		if (host_is_up(host) && host->epoch &&
+		    host->epoch + EARLIER_START_MIN_US < own)
+			return 1;
+	}
+	return 0;
+}
+
 void node_leaving_tick(struct node *node)
 {
 	uint64_t now_ms = node_now_ms(node);
 
 	leaving_record_tick(node->leaving);
 	ack_queue_expire(node->acks, now_ms);
+	if (node->leaving_known)
+		return;
+	if (peers_remember(node))
+		set_known(node);
 	if (!bootstrap_floor(node->bootstrap)->confirmed)
 		return;
 	if (!node->floor_known_ms)
 		node->floor_known_ms = now_ms;
 	if (now_ms >= node->floor_known_ms + LEAVING_WAIT_MAX_MS)
-		backend_server_set_leaving_known(node->backend);
+		set_known(node);
 }
--- a/test/test_node.cc
+++ b/test/test_node.cc
@@ -88,6 +88,7 @@
 	struct store *store = nullptr;
 	uint16_t peer_port = take_ports(1);
 	std::unique_ptr<test_node> node; /* runs if set */
+	test_node *peer = nullptr; /* as well */
 	int status = 0; /* of the last request; 0: none */
 
 	fixture()
@@ -120,6 +121,8 @@
 			uv_run(loop, UV_RUN_NOWAIT);
 			if (node)
 				uv_run(&node->loop, UV_RUN_NOWAIT);
+			if (peer)
+				uv_run(&peer->loop, UV_RUN_NOWAIT);
 			usleep(200);
 		}
 	}
@@ -222,6 +225,33 @@
 	}
 }
 
+/*
+ * Guards against nodes that restart one by one while the store is down and keep
+ * their backend servers out of use, though their peers know that none has left.
+ */
+TEST(node, restart_beside_peers_does_not_wait_for_the_store)
+{
+	fixture f;
+	test_node peer(take_ports(1));
+
+	f.peer = &peer;
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 5), 0);
+	for (int sequence = 6; sequence < 8; sequence++) {
+		/* In all beyond the differences between wall clocks. */
+		f.run_for(5500);
+		ASSERT_GE(f.heartbeat("i-1", sequence), 0);
+	}
+	ASSERT_TRUE(f.node->is_serving());
+	f.kill_node();
+	store_standin_set_outage(f.store, OUTAGE_REFUSE);
+	f.start_node();
+	ASSERT_GE(f.heartbeat("i-1", 8), 0);
+	f.run_for(1500);
+	EXPECT_TRUE(f.node->is_serving());
+	f.peer = nullptr;
+}
+
 /*
  * The leaving is stored before it is acknowledged, so that a kill right after
  * the acknowledgement loses nothing; a store that is down delays the
