http server: replace idle connections of callers beyond a limit

Cause: nothing limited the callers' connections; refused calls come again on new ones and leave idle ones behind. At the descriptor limit accept() fails, and libuv spins on it where sockets are counted apart from files. Ruled out: processor time (--no-cpu ends the same way) and memory (9 MB).

A new one replaces the one without a request for the longest time. The stand-in of the backend server still closes the new one.

The new test fails if connections_max closes new ones as before.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -19,6 +19,10 @@
 	uv_tcp_t listener;
 	size_t connections;
 	size_t connections_max; /* 0: no limit */
+	enum http_overflow overflow;
+	/* struct connection without a request, the longest idle at the head */
+	GQueue idle;
+	GHashTable *connections_by_socket;
 	size_t header_bytes_max; /* of a request; 0: no limit */
 	/* Socket -> exchange; in HTTP/1 a connection has one at a time. */
 	GHashTable *pending_exchanges;
@@ -31,8 +35,17 @@
 	struct http_server *server;
 };
 
+struct connection {
+	uv_tcp_t tcp; /* first member: cast back in on_socket_closed() */
+	struct http_server *server;
+	h2o_socket_t *sock;
+	GList idle_link; /* in the server's idle queue */
+	int is_idle;
+};
+
 struct http_exchange {
 	struct http_server *server;
+	struct connection *connection;
 	h2o_req_t *req;
 	h2o_socket_t *watched_socket; /* read to detect disconnects; or NULL */
 	void (*closed)(void *data);
@@ -55,11 +68,24 @@
 		closed(exchange->data);
 }
 
+static void set_idle(struct connection *connection, int is_idle)
+{
+	GQueue *idle = &connection->server->idle;
+
+	if (connection->is_idle)
+		g_queue_unlink(idle, &connection->idle_link);
+	connection->is_idle = is_idle;
+	connection->idle_link.data = connection;
+	if (is_idle)
+		g_queue_push_tail_link(idle, &connection->idle_link);
+}
+
 /* Called when h2o frees the request, after the reply or a disconnect. */
 static void exchange_dispose(void *p)
 {
 	struct http_exchange *exchange = *(struct http_exchange **)p;
 
+	set_idle(exchange->connection, 1);
 	if (exchange->watched_socket)
 		g_hash_table_remove(exchange->server->pending_exchanges,
 				    exchange->watched_socket);
@@ -148,23 +174,41 @@
 	*pool_entry = exchange;
 	exchange->server = server;
 	exchange->req = req;
+	exchange->connection = g_hash_table_lookup(
+		server->connections_by_socket, exchange_socket(exchange));
+	set_idle(exchange->connection, 0);
 	server->handle(server->data, exchange);
 	return 0;
 }
 
-struct connection {
-	uv_tcp_t tcp; /* first member: cast back in on_socket_closed() */
-	struct http_server *server;
-};
-
 static void on_socket_closed(uv_handle_t *handle)
 {
 	struct connection *connection = (struct connection *)handle;
 
+	set_idle(connection, 0);
+	if (connection->sock)
+		g_hash_table_remove(connection->server->connections_by_socket,
+				    connection->sock);
 	connection->server->connections--;
 	g_free(connection);
 }
 
+/*
+ * Closes the connection that has been without a request for the longest time,
+ * as its peer will hardly use it again. Returns 0 if there is none. h2o closes
+ * the socket when it reads the end of the stream.
+ */
+static int close_longest_idle(struct http_server *server)
+{
+	struct connection *connection = g_queue_peek_head(&server->idle);
+
+	if (!connection)
+		return 0;
+	set_idle(connection, 0);
+	shutdown(h2o_socket_get_fd(connection->sock), SHUT_RDWR);
+	return 1;
+}
+
 static void on_connection(uv_stream_t *listener, int status)
 {
 	struct http_server *server = listener->data;
@@ -180,13 +224,19 @@
 	uv_tcp_init(listener->loop, tcp);
 	if (uv_accept(listener, (uv_stream_t *)tcp) ||
 	    (server->connections_max &&
-	     server->connections > server->connections_max)) {
+	     server->connections > server->connections_max &&
+	     (server->overflow == HTTP_CLOSE_NEW ||
+	      !close_longest_idle(server)))) {
 		uv_close((uv_handle_t *)tcp, on_socket_closed);
 		return;
 	}
 	uv_tcp_nodelay(tcp, 1);
-	h2o_accept(&server->accept,
-		   h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed));
+	connection->sock =
+		h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed);
+	g_hash_table_insert(server->connections_by_socket, connection->sock,
+			    connection);
+	set_idle(connection, 1);
+	h2o_accept(&server->accept, connection->sock);
 }
 
 static void configure_h2o(struct http_server *server, uv_loop_t *loop)
@@ -222,6 +272,8 @@
 	server->handle = handle;
 	server->data = data;
 	server->pending_exchanges = g_hash_table_new(NULL, NULL);
+	g_queue_init(&server->idle);
+	server->connections_by_socket = g_hash_table_new(NULL, NULL);
 	configure_h2o(server, loop);
 	uv_tcp_init(loop, &server->listener);
 	server->listener.data = server;
@@ -234,9 +286,11 @@
 }
 
 void http_server_set_connections_max(struct http_server *server,
-				     size_t connections)
+				     size_t connections,
+				     enum http_overflow overflow)
 {
 	server->connections_max = connections;
+	server->overflow = overflow;
 }
 
 /*
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -38,9 +38,17 @@
 				      struct http_exchange *exchange),
 		       void *data, struct http_server **out);
 
-/* Close new connections at once while this many are open; 0: no limit. */
+/* Which connection is closed when a new one exceeds the limit. */
+enum http_overflow {
+	HTTP_CLOSE_NEW,
+	/* The one without a request for the longest time, if there is one. */
+	HTTP_CLOSE_IDLE,
+};
+
+/* Limit the open connections; 0: no limit. */
 void http_server_set_connections_max(struct http_server *server,
-				     size_t connections);
+				     size_t connections,
+				     enum http_overflow overflow);
 
 /*
  * Limits for callers. 0: no limit for headers, HTTP_MAX_BODY_BYTES for a body;
--- a/src/node.c
+++ b/src/node.c
@@ -474,6 +474,10 @@
 		error = http_server_create(node->loop, s->callers,
 					   caller_table_handle_request,
 					   node->callers, &node->caller_server);
+	if (!error)
+		http_server_set_connections_max(node->caller_server,
+						s->caller_connections,
+						HTTP_CLOSE_IDLE);
 	if (!error)
 		error = http_server_create(node->loop, operator_address,
 					   operator_request, &node->view,
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 /* The rest of the grace period is left to exit in, also on a busy host. */
 #define DRAIN_GRACE_PERCENT 90
@@ -17,6 +18,8 @@
  */
 #define ANNOUNCE_DELAY_DEFAULT_MS 2000
 
+#define CALLER_CONNECTIONS_MAX 1000000
+
 #define FIELD(member) offsetof(struct node_settings, member)
 #define NUMBER(key, member, min, max)                                 \
 	{                                                             \
@@ -74,6 +77,8 @@
 	NUMBER("cross_domain_ms_per_kb", cross_domain_ms_per_kb, 0, 60000),
 	QUANTITY("retry_burst", retry_burst, 0, 1000000),
 	NUMBER("fetch_delay_ms", distribution.fetch_delay_ms, 0, 60000),
+	NUMBER("caller_connections", caller_connections, 0,
+	       CALLER_CONNECTIONS_MAX),
 	QUANTITY("capacity", capacity, 0, 10000000),
 	NUMBER("deltas", deltas, 0, 1),
 	NUMBER("witness", require_peer_copy, 0, 1),
@@ -93,6 +98,17 @@
 	       86400000),
 };
 
+/* The other half is left for peers, the backend server and the store. */
+static uint32_t half_of_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) ||
+	    limit.rlim_cur > CALLER_CONNECTIONS_MAX)
+		return CALLER_CONNECTIONS_MAX / 2;
+	return MAX((uint32_t)limit.rlim_cur / 2, 1);
+}
+
 void node_settings_init(struct node_settings *settings)
 {
 	memset(settings, 0, sizeof(*settings));
@@ -137,5 +153,7 @@
 		settings->callers.port = (uint16_t)settings->caller_port;
 	}
 	settings->caller_port = settings->callers.port;
+	if (!settings->caller_connections)
+		settings->caller_connections = half_of_descriptor_limit();
 	return error;
 }
--- a/standin/backend_standin.c
+++ b/standin/backend_standin.c
@@ -396,7 +396,8 @@
 	if (event_log_open(options.events, options.listen, &b->events) ||
 	    http_server_create(b->loop, b->address, on_request, b, &b->server))
 		return FESCUE_EIO;
-	http_server_set_connections_max(b->server, (size_t)options.connections);
+	http_server_set_connections_max(b->server, (size_t)options.connections,
+					HTTP_CLOSE_NEW);
 	b->operator_port = http_pool_create(b->loop, node, 2);
 	if (options.callers && !address_parse(options.callers, &callers))
 		b->caller_port = http_pool_create(b->loop, callers, 64);
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -237,6 +237,86 @@
 	close(fd);
 }
 
+/* Connects and, if there is a path, sends a request for it. */
+int open_raw_connection(const char *path)
+{
+	struct sockaddr_in in = address_to_sockaddr(loopback);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	std::string request = std::string("POST ") + path +
+			      " HTTP/1.1\r\nHost: a\r\n"
+			      "Content-Length: 1\r\n\r\nx";
+
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	if (!*path)
+		return fd;
+	EXPECT_EQ(write(fd, request.data(), request.size()),
+		  (ssize_t)request.size());
+	return fd;
+}
+
+bool is_open(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) < 0 &&
+	       errno == EAGAIN;
+}
+
+/*
+ * Guards against idle connections of callers that use up the descriptors of a
+ * node, which then accepts nothing any more: a new one replaces the oldest idle
+ * one and no other, and none with a request.
+ */
+TEST(http, new_connections_replace_idle_ones_beyond_the_limit)
+{
+	fixture f;
+	std::vector<int> fds;
+	const size_t limit = 20;
+
+	http_server_set_connections_max(f.server, limit, HTTP_CLOSE_IDLE);
+	fds.push_back(open_raw_connection("/hold"));
+	f.run(20);
+	for (int i = 0; i < 100; i++) {
+		fds.push_back(open_raw_connection(""));
+		if (i % 7 == 0)
+			f.run(20);
+	}
+	f.run(50);
+	EXPECT_TRUE(is_open(fds[0])) << "it has a request";
+	for (size_t i = 1; i < fds.size(); i++)
+		EXPECT_EQ(is_open(fds[i]), i > fds.size() - limit) << i;
+	f.send("/echo", "abc");
+	f.run_until_done(1);
+	EXPECT_EQ(f.body, "abc");
+	for (int fd : fds)
+		close(fd);
+}
+
+/* With HTTP_CLOSE_NEW, or if all connections have a request. */
+TEST(http, new_connections_are_closed_beyond_the_limit)
+{
+	for (enum http_overflow overflow :
+	     { HTTP_CLOSE_NEW, HTTP_CLOSE_IDLE }) {
+		fixture f;
+		const char *path = overflow == HTTP_CLOSE_NEW ? "" : "/hold";
+		int first, second, third;
+
+		http_server_set_connections_max(f.server, 2, overflow);
+		first = open_raw_connection(path);
+		second = open_raw_connection(path);
+		f.run(20);
+		third = open_raw_connection("");
+		f.run(50);
+		EXPECT_TRUE(is_open(first));
+		EXPECT_TRUE(is_open(second));
+		EXPECT_FALSE(is_open(third));
+		close(first);
+		close(second);
+		close(third);
+		f.run(20);
+	}
+}
+
 TEST(http, delayed_answer_reaches_its_caller)
 {
 	fixture f;
