--- a/test/test_bootstrap.cc
+++ b/test/test_bootstrap.cc
@@ -16,7 +16,7 @@
 namespace
 {
 
-const struct address store_address = { 0x7f000001, 47171 };
+const struct address store_address = { 0x7f000001, 17171 };
 const uint64_t TICK_MS = 50;
 /* Within which an accepted change must be active everywhere. */
 const uint64_t ACTIVE_WITHIN_MS = 3000;
--- a/test/test_node.cc
+++ b/test/test_node.cc
@@ -16,12 +16,12 @@
 namespace
 {
 
-const struct address store_address = { 0x7f000001, 47181 };
+const struct address store_address = { 0x7f000001, 17181 };
 
 /* Servers of earlier nodes keep their ports until the program ends. */
 uint16_t take_ports(uint16_t count)
 {
-	static uint16_t next_port = 47182;
+	static uint16_t next_port = 17182;
 
 	next_port = (uint16_t)(next_port + count);
 	return (uint16_t)(next_port - count);
@@ -178,7 +178,7 @@
 	{
 		return send(
 			"PUT", id,
-			"{\"address\":\"127.0.0.1:47189\",\"born\":" +
+			"{\"address\":\"127.0.0.1:17999\",\"born\":" +
 				std::to_string(born) +
 				",\"info\":{\"service\":\"shop\",\"slots\":" +
 				std::to_string(slots) +
@@ -305,7 +305,7 @@
 		       "},\"status\":{\"state\":\"ready\",\"sequence\":" +
 		       sequence + "}}";
 	};
-	const std::string address = "127.0.0.1:47189";
+	const std::string address = "127.0.0.1:17999";
 	const std::string odd[] = {
 		deep,
 		"{\"info\":" + deep,
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -230,7 +230,7 @@
  */
 TEST(store_client, only_first_call_fails_after_connections_went_silent)
 {
-	const struct address store_address = { 0x7f000001, 47172 };
+	const struct address store_address = { 0x7f000001, 17172 };
 	struct store *store = nullptr;
 
 	signal(SIGPIPE, SIG_IGN);
