http server: one table of connections, without a second one of exchanges

The limit of callers' connections had added a table from sockets to connections beside the one from sockets to pending exchanges. A connection has one exchange at a time, so it holds a pointer to it; the exchange's own server and socket follow from its connection. Each pending request costs one look-up instead of an insertion, a removal and a look-up.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -17,15 +17,13 @@
 	h2o_context_t context;
 	h2o_accept_ctx_t accept;
 	uv_tcp_t listener;
-	size_t connections;
+	size_t connection_count; /* not yet closed */
 	size_t connections_max; /* 0: no limit */
 	enum http_overflow overflow;
 	/* struct connection without a request, the longest idle at the head */
 	GQueue idle;
-	GHashTable *connections_by_socket;
+	GHashTable *connections; /* h2o_socket_t -> struct connection */
 	size_t header_bytes_max; /* of a request; 0: no limit */
-	/* Socket -> exchange; in HTTP/1 a connection has one at a time. */
-	GHashTable *pending_exchanges;
 	void (*handle)(void *data, struct http_exchange *exchange);
 	void *data;
 };
@@ -39,15 +37,18 @@
 	uv_tcp_t tcp; /* first member: cast back in on_socket_closed() */
 	struct http_server *server;
 	h2o_socket_t *sock;
+	/*
+	 * Waits for its reply, while the socket is read to detect disconnects;
+	 * or NULL. In HTTP/1 a connection has one exchange at a time.
+	 */
+	struct http_exchange *watched;
 	GList idle_link; /* in the server's idle queue */
 	int is_idle;
 };
 
 struct http_exchange {
-	struct http_server *server;
 	struct connection *connection;
 	h2o_req_t *req;
-	h2o_socket_t *watched_socket; /* read to detect disconnects; or NULL */
 	void (*closed)(void *data);
 	void *data;
 };
@@ -86,43 +87,36 @@
 	struct http_exchange *exchange = *(struct http_exchange **)p;
 
 	set_idle(exchange->connection, 1);
-	if (exchange->watched_socket)
-		g_hash_table_remove(exchange->server->pending_exchanges,
-				    exchange->watched_socket);
+	exchange->connection->watched = NULL;
 	notify_closed(exchange);
 	g_free(exchange);
 }
 
-static h2o_socket_t *exchange_socket(const struct http_exchange *exchange)
-{
-	h2o_conn_t *conn = exchange->req->conn;
-
-	return conn->callbacks->get_socket(conn);
-}
-
 static void stop_watching(struct http_exchange *exchange)
 {
+	struct connection *connection = exchange->connection;
+
 	exchange->closed = NULL;
-	if (!exchange->watched_socket)
+	if (!connection->watched)
 		return;
-	g_hash_table_remove(exchange->server->pending_exchanges,
-			    exchange->watched_socket);
-	h2o_socket_read_stop(exchange->watched_socket);
-	exchange->watched_socket = NULL;
+	connection->watched = NULL;
+	h2o_socket_read_stop(connection->sock);
 }
 
-static struct http_server *socket_server(h2o_socket_t *sock)
+static struct connection *find_connection(const h2o_conn_t *conn,
+					  const h2o_socket_t *sock)
 {
-	h2o_conn_t *conn = sock->data;
+	struct http_server *server =
+		H2O_STRUCT_FROM_MEMBER(struct http_server, context, conn->ctx);
 
-	return H2O_STRUCT_FROM_MEMBER(struct http_server, context, conn->ctx);
+	return g_hash_table_lookup(server->connections, sock);
 }
 
 /* Input while pending is a pipelined request; an error is a disconnect. */
 static void on_read_while_pending(h2o_socket_t *sock, const char *error)
 {
-	struct http_exchange *exchange = g_hash_table_lookup(
-		socket_server(sock)->pending_exchanges, sock);
+	struct http_exchange *exchange =
+		find_connection(sock->data, sock)->watched;
 
 	if (!error || !exchange) {
 		h2o_socket_read_stop(sock);
@@ -138,10 +132,10 @@
 
 static void start_watching(struct http_exchange *exchange)
 {
-	exchange->watched_socket = exchange_socket(exchange);
-	g_hash_table_insert(exchange->server->pending_exchanges,
-			    exchange->watched_socket, exchange);
-	h2o_socket_read_start(exchange->watched_socket, on_read_while_pending);
+	struct connection *connection = exchange->connection;
+
+	connection->watched = exchange;
+	h2o_socket_read_start(connection->sock, on_read_while_pending);
 }
 
 /* Bytes of method, path, host and headers, with ": " and CRLF per header. */
@@ -172,10 +166,9 @@
 	pool_entry = h2o_mem_alloc_shared(&req->pool, sizeof(*pool_entry),
 					  exchange_dispose);
 	*pool_entry = exchange;
-	exchange->server = server;
 	exchange->req = req;
-	exchange->connection = g_hash_table_lookup(
-		server->connections_by_socket, exchange_socket(exchange));
+	exchange->connection = find_connection(
+		req->conn, req->conn->callbacks->get_socket(req->conn));
 	set_idle(exchange->connection, 0);
 	server->handle(server->data, exchange);
 	return 0;
@@ -187,9 +180,9 @@
 
 	set_idle(connection, 0);
 	if (connection->sock)
-		g_hash_table_remove(connection->server->connections_by_socket,
+		g_hash_table_remove(connection->server->connections,
 				    connection->sock);
-	connection->server->connections--;
+	connection->server->connection_count--;
 	g_free(connection);
 }
 
@@ -219,12 +212,12 @@
 		return;
 	connection = g_new0(struct connection, 1);
 	connection->server = server;
-	server->connections++;
+	server->connection_count++;
 	tcp = &connection->tcp;
 	uv_tcp_init(listener->loop, tcp);
 	if (uv_accept(listener, (uv_stream_t *)tcp) ||
 	    (server->connections_max &&
-	     server->connections > server->connections_max &&
+	     server->connection_count > server->connections_max &&
 	     (server->overflow == HTTP_CLOSE_NEW ||
 	      !close_longest_idle(server)))) {
 		uv_close((uv_handle_t *)tcp, on_socket_closed);
@@ -233,8 +226,7 @@
 	uv_tcp_nodelay(tcp, 1);
 	connection->sock =
 		h2o_uv_socket_create((uv_stream_t *)tcp, on_socket_closed);
-	g_hash_table_insert(server->connections_by_socket, connection->sock,
-			    connection);
+	g_hash_table_insert(server->connections, connection->sock, connection);
 	set_idle(connection, 1);
 	h2o_accept(&server->accept, connection->sock);
 }
@@ -271,9 +263,8 @@
 
 	server->handle = handle;
 	server->data = data;
-	server->pending_exchanges = g_hash_table_new(NULL, NULL);
 	g_queue_init(&server->idle);
-	server->connections_by_socket = g_hash_table_new(NULL, NULL);
+	server->connections = g_hash_table_new(NULL, NULL);
 	configure_h2o(server, loop);
 	uv_tcp_init(loop, &server->listener);
 	server->listener.data = server;
@@ -431,7 +422,7 @@
 
 int http_exchange_caller_left(const struct http_exchange *exchange)
 {
-	int fd = h2o_socket_get_fd(exchange_socket(exchange));
+	int fd = h2o_socket_get_fd(exchange->connection->sock);
 	char byte;
 	ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
@@ -486,7 +477,7 @@
 void http_exchange_abort(struct http_exchange *exchange)
 {
 	h2o_req_t *req = exchange->req;
-	h2o_socket_t *sock = exchange_socket(exchange);
+	h2o_socket_t *sock = exchange->connection->sock;
 	static h2o_generator_t generator;
 
 	stop_watching(exchange);
--- a/test/test_http.cc
+++ b/test/test_http.cc
@@ -211,6 +211,23 @@
 	EXPECT_EQ(f.done, 0);
 }
 
+/* Connects and, if there is a path, sends a request for it. */
+int open_raw_connection(const char *path)
+{
+	struct sockaddr_in in = address_to_sockaddr(loopback);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	std::string request = std::string("POST ") + path +
+			      " HTTP/1.1\r\nHost: a\r\n"
+			      "Content-Length: 1\r\n\r\nx";
+
+	EXPECT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
+	if (!*path)
+		return fd;
+	EXPECT_EQ(write(fd, request.data(), request.size()),
+		  (ssize_t)request.size());
+	return fd;
+}
+
 /*
  * Guards against an answer that says "not run" to a caller that has closed its
  * side of the connection while its request runs: it got a 408.
@@ -218,15 +235,9 @@
 TEST(http, caller_that_half_closes_gets_no_answer)
 {
 	fixture f;
-	struct sockaddr_in in = address_to_sockaddr(loopback);
-	const char request[] = "POST /hold HTTP/1.1\r\nHost: a\r\n"
-			       "Content-Length: 1\r\n\r\nx";
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = open_raw_connection("/hold");
 	char bytes[256];
 
-	ASSERT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
-	ASSERT_EQ(write(fd, request, sizeof(request) - 1),
-		  (ssize_t)sizeof(request) - 1);
 	f.run(50);
 	ASSERT_NE(f.pending_exchange, nullptr);
 	shutdown(fd, SHUT_WR);
@@ -237,23 +248,6 @@
 	close(fd);
 }
 
-/* Connects and, if there is a path, sends a request for it. */
-int open_raw_connection(const char *path)
-{
-	struct sockaddr_in in = address_to_sockaddr(loopback);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	std::string request = std::string("POST ") + path +
-			      " HTTP/1.1\r\nHost: a\r\n"
-			      "Content-Length: 1\r\n\r\nx";
-
-	EXPECT_EQ(connect(fd, (struct sockaddr *)&in, sizeof(in)), 0);
-	if (!*path)
-		return fd;
-	EXPECT_EQ(write(fd, request.data(), request.size()),
-		  (ssize_t)request.size());
-	return fd;
-}
-
 bool is_open(int fd)
 {
 	char byte;
