node: ask the backend server whether its leaving is known

node->leaving_known repeated a state of the backend server module, which now tells it. may_announce replaces delay_passed, which had come to mean more than the delay. Closing all idle connections of a pool and keeping the newest few are one loop.

Behaviour is as before. test_node, test_backend_server, test_http_client and test_store_client pass.

--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -124,15 +124,15 @@
 static void publish_status(struct backend_server *b)
 {
 	const struct announcement *current = &b->record.current;
-	int delay_passed = backend_now_ms(b) >= b->announce_at_ms &&
+	int may_announce = backend_now_ms(b) >= b->announce_at_ms &&
 			   !b->awaiting_leaving;
 	struct backend_status status = {
-		.service = b->pool && delay_passed ? current->service : "",
+		.service = b->pool && may_announce ? current->service : "",
 		.slots = admission_slots(b->admission),
 	};
 	int leaving = b->record.leaving || b->draining;
 
-	status.serving = b->pool && delay_passed && !leaving && !b->unreachable;
+	status.serving = b->pool && may_announce && !leaving && !b->unreachable;
 	if (b->record.known && b->record.leaving)
 		status.left = announcement_fingerprint(current);
 	admission_set_draining(b->admission, leaving);
@@ -465,6 +465,11 @@
 	publish_status(b);
 }
 
+int backend_server_awaits_leaving(const struct backend_server *b)
+{
+	return b->awaiting_leaving;
+}
+
 static void expire_announcement(struct backend_server *b)
 {
 	if (!b->pool || backend_now_ms(b) < b->announcement_expires_ms)
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -67,6 +67,7 @@
 
 /* The backend server may be announced: see await_leaving. */
 void backend_server_set_leaving_known(struct backend_server *backend);
+int backend_server_awaits_leaving(const struct backend_server *backend);
 
 /*
  * Marks the backend server with this id, or the current one for NULL, as
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -62,17 +62,21 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_conn_closed);
 }
 
+static void keep_idle(struct http_pool *pool, size_t count)
+{
+	while (g_queue_get_length(&pool->idle) > count)
+		conn_close(g_queue_peek_tail(&pool->idle));
+}
+
 void http_pool_set_idle_max(struct http_pool *pool, size_t idle_max)
 {
 	pool->idle_max = idle_max;
-	while (g_queue_get_length(&pool->idle) > idle_max)
-		conn_close(g_queue_peek_tail(&pool->idle));
+	keep_idle(pool, idle_max);
 }
 
 void http_pool_close_idle(struct http_pool *pool)
 {
-	while (!g_queue_is_empty(&pool->idle))
-		conn_close(g_queue_peek_head(&pool->idle));
+	keep_idle(pool, 0);
 }
 
 void http_pool_release(struct http_pool *pool)
--- a/src/node.h
+++ b/src/node.h
@@ -45,7 +45,6 @@
 	struct backend_server *backend; /* the local one and its calls */
 	struct leaving_record *leaving; /* of the backend server */
 	struct ack_queue *acks; /* of announcements that are not stored yet */
-	int leaving_known; /* see backend_server_set_leaving_known() */
 	uint64_t floor_known_ms; /* since when the floor is known; or 0 */
 	struct caller_table *callers; /* calls received on the caller port */
 	struct quarantine *quarantine;
--- a/src/node_leaving.c
+++ b/src/node_leaving.c
@@ -23,12 +23,6 @@
 /* Beyond the differences between the wall clocks of hosts. */
 #define EARLIER_START_MIN_US ((uint64_t)10 * 1000000)
 
-static void set_known(struct node *node)
-{
-	node->leaving_known = 1;
-	backend_server_set_leaving_known(node->backend);
-}
-
 static void on_loaded(void *data, uint64_t left)
 {
 	struct node *node = data;
@@ -37,7 +31,7 @@
 		log_event(LOG_STATE, "leaving_record_loaded",
 			  "\"left\":\"%016" PRIx64 "\"", left);
 	backend_server_restore_leaving(node->backend, LEAVING_FROM_STORE, left);
-	set_known(node);
+	backend_server_set_leaving_known(node->backend);
 }
 
 static void on_saved(void *data)
@@ -114,14 +108,14 @@
 
 	leaving_record_tick(node->leaving);
 	ack_queue_expire(node->acks, now_ms);
-	if (node->leaving_known)
+	if (!backend_server_awaits_leaving(node->backend))
 		return;
 	if (peers_remember(node))
-		set_known(node);
+		backend_server_set_leaving_known(node->backend);
 	if (!bootstrap_floor(node->bootstrap)->confirmed)
 		return;
 	if (!node->floor_known_ms)
 		node->floor_known_ms = now_ms;
 	if (now_ms >= node->floor_known_ms + LEAVING_WAIT_MAX_MS)
-		set_known(node);
+		backend_server_set_leaving_known(node->backend);
 }
