--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -216,6 +216,31 @@
 	}
 }
 
+/*
+ * Guards against hosts below a frozen one in the push tree that get a version
+ * only when gossip reports it.
+ */
+TEST(distribution, hosts_below_frozen_ones_get_pushes_in_time)
+{
+	for (int seed = 0; seed < 50; seed++) {
+		fleet_sim sim(2000 + seed, 30, 1);
+		size_t running = 0;
+
+		sim.settings.fetch_delay_ms = 60000;
+		start_all(sim);
+		for (auto &node : sim.nodes)
+			if (!distribution_is_relay(node->distribution) &&
+			    sim.chance(0.5))
+				sim.freeze(*node, 60000);
+		uint64_t version = sim.accept_version();
+		sim.run_for(1500);
+		for (auto &node : sim.nodes)
+			running += node->frozen_until_ms <= sim.now_ms;
+		EXPECT_EQ(count_with_version(sim, version), running)
+			<< "seed " << seed;
+	}
+}
+
 TEST(distribution, isolated_domain_catches_up)
 {
 	fleet_sim sim(4, 12, 3);
