node: log from whom each version was seen, became active or was refused

The log named "a peer" or nothing, did not log a push, and logged no version below the highest one seen, so a late version could not be told from one that a relay had not sent. Each version is logged once when it is first heard of; version_in_force and version_refused name the store, or the peer and whether it pushed the version or answered a fetch.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -68,6 +68,22 @@
 
 extern const struct distribution_settings distribution_defaults;
 
+/* How a host got a version, or learned of it. */
+enum version_source_type {
+	VERSION_FROM_STORE,
+	VERSION_FROM_PUSH,
+	VERSION_FROM_FETCH, /* a peer's answer to a fetch */
+	VERSION_FROM_GOSSIP, /* learned of, without its text */
+};
+
+struct version_source {
+	enum version_source_type type;
+	uint64_t peer; /* 0 if it was the store */
+};
+
+/* Returns the name of the type for logs. */
+const char *version_source_name(enum version_source_type type);
+
 enum distribution_action_type {
 	DISTRIBUTION_APPLY, /* make the validated text the active one */
 	DISTRIBUTION_REJECT, /* the whole version is invalid */
@@ -78,6 +94,7 @@
 struct distribution_action {
 	enum distribution_action_type type;
 	uint64_t version; /* of APPLY and REJECT */
+	struct version_source source; /* of APPLY and REJECT */
 	union {
 		struct {
 			const char *text; /* owned by the distribution */
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -25,6 +25,21 @@
 	.require_peer_copy = 1,
 };
 
+const char *version_source_name(enum version_source_type type)
+{
+	switch (type) {
+	case VERSION_FROM_STORE:
+		return "store";
+	case VERSION_FROM_PUSH:
+		return "push";
+	case VERSION_FROM_FETCH:
+		return "fetch";
+	case VERSION_FROM_GOSSIP:
+		return "gossip";
+	}
+	return "unknown";
+}
+
 /* Take the parsed rules of a version; NULL unless it was validated last. */
 static struct rules *take_parsed_rules(struct distribution *d, uint64_t version)
 {
@@ -41,6 +56,7 @@
 
 	action->type = type;
 	action->version = version;
+	action->source = d->source;
 	if (type == DISTRIBUTION_APPLY) {
 		action->u.apply.text = active_text(d)->bytes;
 		action->u.apply.size = active_text(d)->size;
@@ -150,6 +166,7 @@
 	if (version <= newest_text(d)->version ||
 	    version <= d->rejected_version)
 		return;
+	d->source = (struct version_source){ VERSION_FROM_STORE, 0 };
 	if (!text) {
 		g_strlcpy(diagnostic.what, decode_error,
 			  sizeof(diagnostic.what));
@@ -281,6 +298,10 @@
 		send_fetch(d, from, now_ms, 1, outbox);
 		return FESCUE_EMISMATCH;
 	}
+	d->source = (struct version_source){ d->fetch_peer == from ?
+						     VERSION_FROM_FETCH :
+						     VERSION_FROM_PUSH,
+					     from };
 	if (validate_text(d, text.version, text.bytes, text.size)) {
 		version_text_clear(&text);
 		return FESCUE_EINVAL;
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -26,6 +26,7 @@
 	int watching; /* this host is to watch the store */
 	struct version_history history; /* the first text is the active one */
 	struct version_text staged; /* validated, not yet applied */
+	struct version_source source; /* of the text validated last */
 	struct rules *parsed_rules; /* of the text validated last */
 	uint64_t parsed_version;
 	GArray *pending_pushes; /* struct pending_push */
--- a/src/node.c
+++ b/src/node.c
@@ -101,6 +101,22 @@
 	}
 }
 
+/* Log a version that a peer has or sends, if it is new here. */
+static void record_peer_version(struct node *node, uint64_t from,
+				const Fescue__Packet *packet)
+{
+	const Fescue__Gossip *gossip = gossip_of(packet);
+	struct version_source source = { VERSION_FROM_GOSSIP, from };
+
+	if (gossip) {
+		node_record_version(node, gossip->version, &source);
+	} else if (packet->body_case == FESCUE__PACKET__BODY_CONFIG_PUSH) {
+		source.type = VERSION_FROM_PUSH;
+		node_record_version(node, packet->config_push->version,
+				    &source);
+	}
+}
+
 static void receive_control_packet(struct node *node, uint64_t from,
 				   const Fescue__Packet *packet)
 {
@@ -113,8 +129,7 @@
 	if (left && node->backend)
 		backend_server_restore_leaving(node->backend,
 					       LEAVING_FROM_PEERS, left);
-	if (gossip)
-		node_record_version(node, gossip->version, "a peer");
+	record_peer_version(node, from, packet);
 	if (gossip)
 		distribution_receive_peer_version(node->distribution, from,
 						  gossip->version, gossip->hash,
@@ -354,7 +369,9 @@
 
 static void on_store_version(void *data, uint64_t version)
 {
-	node_record_version(data, version, "the store");
+	struct version_source source = { VERSION_FROM_STORE, 0 };
+
+	node_record_version(data, version, &source);
 }
 
 static void create_bootstrap(struct node *node, uint32_t seed)
--- a/src/node.h
+++ b/src/node.h
@@ -27,6 +27,14 @@
 struct crash_reports;
 struct leaving_record;
 
+/* Versions whose first sighting is remembered, to log each one once. */
+#define SEEN_VERSIONS 32
+
+struct seen_version {
+	uint64_t version; /* 0: unused */
+	uint64_t at_ms;
+};
+
 struct node {
 	uv_loop_t *loop;
 	struct node_settings settings;
@@ -67,8 +75,8 @@
 	int membership_left; /* peers notified, the backend server drains */
 	uint64_t listener_closed_ms; /* of the caller port; 0: open */
 	uint64_t idle_since_ms; /* no calls in flight while stopping; or 0 */
-	uint64_t newest_version; /* highest seen in the store or gossip */
-	uint64_t newest_version_seen_ms;
+	struct seen_version seen[SEEN_VERSIONS]; /* ring buffer */
+	size_t seen_next;
 	GHashTable *logged_hosts; /* address -> struct host, as last logged */
 	uint64_t logged_hosts_generation;
 	int isolated; /* no peer has answered for a while */
@@ -123,12 +131,9 @@
  */
 void node_update_config(struct node *node);
 
-/*
- * Record the time and log the event if version is higher than all seen before.
- * source names where it was seen, for the log.
- */
+/* Record and log when the version was first seen, and where. */
 void node_record_version(struct node *node, uint64_t version,
-			 const char *source);
+			 const struct version_source *source);
 
 /*
  * Log each host whose state, readiness to serve, store access or epoch changed
--- a/src/node_config.c
+++ b/src/node_config.c
@@ -7,6 +7,8 @@
 
 #include <inttypes.h>
 
+#define SOURCE_BYTES (32 + ADDRESS_TEXT_BYTES)
+
 /* Returns the hosts that serve, as input for a snapshot. */
 static GArray *serving_hosts(const struct node *node)
 {
@@ -52,6 +54,32 @@
 	snapshot_unref(old);
 }
 
+static const struct seen_version *find_seen(const struct node *node,
+					    uint64_t version)
+{
+	for (size_t i = 0; i < SEEN_VERSIONS; i++)
+		if (node->seen[i].version == version)
+			return &node->seen[i];
+	return NULL;
+}
+
+/* Members of a log line: a source, and the peer unless it is the store. */
+static const char *format_source(const struct version_source *source,
+				 char out[SOURCE_BYTES])
+{
+	char peer[ADDRESS_TEXT_BYTES];
+
+	if (source->peer)
+		g_snprintf(
+			out, SOURCE_BYTES, "\"source\":\"%s\",\"peer\":\"%s\"",
+			version_source_name(source->type),
+			address_format(address_from_key(source->peer), peer));
+	else
+		g_snprintf(out, SOURCE_BYTES, "\"source\":\"%s\"",
+			   version_source_name(source->type));
+	return out;
+}
+
 static void apply_version(struct node *node,
 			  const struct distribution_action *action)
 {
@@ -60,8 +88,10 @@
 		(const struct snapshot_host *)(void *)hosts->data;
 	const char *text = action->u.apply.text;
 	size_t size = action->u.apply.size, count;
+	const struct seen_version *seen = find_seen(node, action->version);
 	struct snapshot *next;
 	struct diagnostic diagnostic;
+	char source[SOURCE_BYTES];
 	int error = FESCUE_OK;
 
 	if (action->u.apply.rules)
@@ -83,11 +113,10 @@
 			action->version, action->u.apply.hash);
 	log_event(LOG_STATE, "version_in_force",
 		  "\"version\":%" PRIu64 ",\"hash\":\"%016" PRIx64
-		  "\",\"after_seen_ms\":%" PRIu64 ",\"routes\":%zu",
+		  "\",%s,\"after_seen_ms\":%" PRIu64 ",\"routes\":%zu",
 		  action->version, action->u.apply.hash,
-		  node->newest_version == action->version ?
-			  node_now_ms(node) - node->newest_version_seen_ms :
-			  0,
+		  format_source(&action->source, source),
+		  seen ? node_now_ms(node) - seen->at_ms : 0,
 		  snapshot_effective_route_count(node->snapshot));
 }
 
@@ -96,12 +125,14 @@
 {
 	const struct diagnostic *diagnostic = &action->u.reject;
 	char what[LOG_QUOTED_BYTES], remedy[LOG_QUOTED_BYTES];
+	char source[SOURCE_BYTES];
 
 	node->counters.values[COUNTER_config_rejected]++;
 	log_event(LOG_STATE, "version_refused",
-		  "\"version\":%" PRIu64 ",\"line\":%u,\"column\":%u,"
+		  "\"version\":%" PRIu64 ",%s,\"line\":%u,\"column\":%u,"
 		  "\"reason\":%s,\"remedy\":%s",
-		  action->version, diagnostic->line, diagnostic->column,
+		  action->version, format_source(&action->source, source),
+		  diagnostic->line, diagnostic->column,
 		  log_quote(diagnostic->what, what),
 		  log_quote(diagnostic->remedy, remedy));
 	event_log_write(node->events, "rejected", "\"version\":%" PRIu64,
@@ -109,14 +140,18 @@
 }
 
 void node_record_version(struct node *node, uint64_t version,
-			 const char *source)
+			 const struct version_source *source)
 {
-	if (version <= node->newest_version)
+	char text[SOURCE_BYTES];
+
+	if (!version || find_seen(node, version) ||
+	    version <= distribution_version(node->distribution))
 		return;
-	node->newest_version = version;
-	node->newest_version_seen_ms = node_now_ms(node);
-	log_event(LOG_STATE, "version_seen",
-		  "\"version\":%" PRIu64 ",\"source\":\"%s\"", version, source);
+	node->seen[node->seen_next] =
+		(struct seen_version){ version, node_now_ms(node) };
+	node->seen_next = (node->seen_next + 1) % SEEN_VERSIONS;
+	log_event(LOG_STATE, "version_seen", "\"version\":%" PRIu64 ",%s",
+		  version, format_source(source, text));
 }
 
 static void refresh_snapshot_hosts(struct node *node)
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -491,6 +491,41 @@
 			}
 		}
 	}
+	/*
+	 * The log of every node tells when it saw each version that became
+	 * active, when it became active, and from whom.
+	 */
+	void check_logs()
+	{
+		for (auto &node : nodes) {
+			std::ifstream in(node->folder + "/log-1");
+			std::set<std::string> seen;
+			std::string line;
+
+			while (std::getline(in, line)) {
+				size_t at = line.find("\"version\":");
+				std::string member = line.substr(
+					at == std::string::npos ? 0 : at,
+					line.find(',', at) - at);
+				bool from_store =
+					line.find("\"source\":\"store\"") !=
+					std::string::npos;
+				bool from_peer =
+					line.find("\"peer\":\"" + net) !=
+					std::string::npos;
+
+				if (line.find("\"version_seen\"") !=
+				    std::string::npos)
+					seen.insert(member);
+				else if (line.find("\"version_in_force\"") ==
+					 std::string::npos)
+					continue;
+				EXPECT_TRUE(from_store || from_peer) << line;
+				EXPECT_TRUE(seen.count(member)) << line;
+			}
+			EXPECT_GE(seen.size(), 2u);
+		}
+	}
 	void check()
 	{
 		for (auto &node : nodes)
--- a/test/test_fleet.cc
+++ b/test/test_fleet.cc
@@ -132,6 +132,8 @@
 	}
 	f.run_with_requests(ACTIVE_WITHIN_MS + 500);
 	f.check();
+	if (!p.troubles)
+		f.check_logs();
 	EXPECT_TRUE(f.late.empty()) << "seed " << seed << ": " << f.describe();
 	if (getenv("FESCUE_FLEET_VERBOSE"))
 		std::cerr << "seed " << seed << ": " << f.describe();
