distribution: push to the hosts below one that does not acknowledge

Callers saw hosts that nothing disturbed use an older version for seconds while other hosts of their domain stood still: 404 for an added route, an old service for a moved one.

A sender that gets no acknowledgement takes over the subtree of the child: it references the array of hosts, removes the entry, and pushes to the array. But removing the entry called g_array_free(), which empties an array that is still referenced, so the subtree was always empty and its hosts waited for gossip. The entry now only drops its reference.

--- a/src/distribution_push.c
+++ b/src/distribution_push.c
@@ -8,7 +8,8 @@
 {
 	struct pending_push *pending = data;
 
-	g_array_free(pending->subtree, TRUE);
+	/* g_array_free() would empty an array that is still referenced. */
+	g_array_unref(pending->subtree);
 }
 
 void push_text(struct distribution *d, uint64_t to,
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -228,6 +228,7 @@
 
 		sim.settings.fetch_delay_ms = 60000;
 		start_all(sim);
+		sim.run_for(10000); /* until the hosts know each other */
 		for (auto &node : sim.nodes)
 			if (!distribution_is_relay(node->distribution) &&
 			    sim.chance(0.5))
