distribution: accept versions below one that was refused

A version at or below the highest refused one was ignored, whether the store or a peer sent it. A refused value now only keeps out itself, by its version and hash.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -174,7 +174,7 @@
 size_t distribution_rank(const struct distribution *distribution);
 
 /*
- * Returns the highest version that was rejected, or 0. *diagnostic then points
+ * Returns the version that was rejected last, or 0. *diagnostic then points
  * to the first error in it and stays valid until the next rejection.
  */
 uint64_t distribution_rejected_version(const struct distribution *distribution,
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -2,6 +2,7 @@
 
 #include "distribution_state.h"
 #include "fescue/error.h"
+#include "fescue/snapshot.h"
 #include "failure_domain.h"
 
 #include <assert.h>
@@ -95,12 +96,23 @@
 	add_action(d, DISTRIBUTION_APPLY, active_text(d)->version);
 }
 
-static void reject(struct distribution *d, uint64_t version,
+/*
+ * Versions below a rejected one stay acceptable: the number in an invalid value
+ * may be wrong as well.
+ */
+static int is_rejected(const struct distribution *d, uint64_t version,
+		       uint64_t hash)
+{
+	return version == d->rejected_version && hash == d->rejected_hash;
+}
+
+static void reject(struct distribution *d, uint64_t version, uint64_t hash,
 		   const struct diagnostic *diagnostic)
 {
-	if (d->rejected_version >= version)
+	if (is_rejected(d, version, hash))
 		return;
 	d->rejected_version = version;
+	d->rejected_hash = hash;
 	d->rejection = *diagnostic;
 	add_action(d, DISTRIBUTION_REJECT, version);
 }
@@ -121,7 +133,7 @@
 	d->parsed_rules = rules;
 	d->parsed_version = version;
 	if (error)
-		reject(d, version, &diagnostic);
+		reject(d, version, config_hash(text, size), &diagnostic);
 	return error;
 }
 
@@ -163,8 +175,7 @@
 {
 	struct diagnostic diagnostic = { 0 };
 
-	if (version <= newest_text(d)->version ||
-	    version <= d->rejected_version)
+	if (version <= newest_text(d)->version)
 		return;
 	d->source = (struct version_source){ VERSION_FROM_STORE, 0 };
 	if (!text) {
@@ -173,10 +184,13 @@
 		g_strlcpy(diagnostic.remedy,
 			  "apply a valid rules file with fescuectl",
 			  sizeof(diagnostic.remedy));
-		reject(d, version, &diagnostic);
+		reject(d, version,
+		       config_hash(decode_error, strlen(decode_error)),
+		       &diagnostic);
 		return;
 	}
-	if (validate_text(d, version, text, size))
+	if (is_rejected(d, version, config_hash(text, size)) ||
+	    validate_text(d, version, text, size))
 		return;
 	version_text_clear(&d->staged);
 	d->staged = version_text_copy(version, text, size);
@@ -292,7 +306,7 @@
 		apply_staged(d); /* the sender holds a copy */
 		return FESCUE_OK;
 	}
-	if (push->version <= d->rejected_version)
+	if (is_rejected(d, push->version, push->hash))
 		return FESCUE_EINVAL;
 	if (version_text_decode(&d->history, push, &text)) {
 		send_fetch(d, from, now_ms, 1, outbox);
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -42,7 +42,8 @@
 	uint64_t deferred_since_ms;
 	/* When a version newer than the held one was first heard of; or 0. */
 	uint64_t behind_since_ms;
-	uint64_t rejected_version;
+	uint64_t rejected_version; /* the last one */
+	uint64_t rejected_hash; /* of its text, or of why it has none */
 	struct diagnostic rejection;
 	GQueue actions; /* struct distribution_action */
 };
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -47,6 +47,85 @@
 	EXPECT_EQ(count_with_version(sim, version), 9u);
 }
 
+/* A distribution alone, and the actions that it asks for. */
+struct lone_distribution {
+	struct outbox outbox = {};
+	struct membership *membership;
+	struct distribution *d;
+	std::vector<uint64_t> applied, rejected;
+
+	lone_distribution()
+	{
+		struct host self = {};
+
+		self.address = 1;
+		g_queue_init(&outbox.queue);
+		membership =
+			membership_create(&membership_defaults, &self, 1, 0);
+		d = distribution_create(&distribution_defaults, membership);
+	}
+	~lone_distribution()
+	{
+		outbox_clear(&outbox);
+		distribution_destroy(d);
+		membership_destroy(membership);
+	}
+	void take_actions()
+	{
+		struct distribution_action action;
+
+		while (distribution_next_action(d, &action)) {
+			if (action.type == DISTRIBUTION_APPLY) {
+				applied.push_back(action.version);
+				rules_destroy(action.u.apply.rules);
+			} else if (action.type == DISTRIBUTION_REJECT) {
+				rejected.push_back(action.version);
+			}
+		}
+	}
+	/* A value in the store; NULL: one that cannot be decoded. */
+	void read(uint64_t version, const char *text)
+	{
+		distribution_receive_store_value(d, version, text,
+						 text ? strlen(text) : 0,
+						 "no resources", 1000, &outbox);
+		take_actions();
+	}
+	void push(uint64_t version, const char *text)
+	{
+		Fescue__Packet *packet =
+			packet_create(FESCUE__PACKET__BODY_CONFIG_PUSH);
+
+		packet->config_push->version = version;
+		packet->config_push->hash = config_hash(text, strlen(text));
+		packet_set_bytes(&packet->config_push->body, text,
+				 strlen(text));
+		distribution_receive(d, 2, packet, 1000, &outbox);
+		packet_destroy(packet);
+		take_actions();
+	}
+};
+
+/* Guards against a refused value whose number keeps all later versions out. */
+TEST(distribution, versions_below_a_refused_one_are_applied)
+{
+	lone_distribution host;
+
+	host.read(5, "service s # a\n");
+	host.read(9007199254740991, nullptr);
+	host.read(9007199254740991, nullptr);
+	host.read(6, "service s # b\n");
+	host.read(9007199254740990, "nonsense\n");
+	host.push(9007199254740990, "nonsense\n");
+	host.push(7, "service s # c\n");
+	host.read(8, "nonsense\n");
+	host.read(8, "service s # d\n");
+	EXPECT_EQ(host.applied, (std::vector<uint64_t>{ 5, 6, 7, 8 }));
+	EXPECT_EQ(host.rejected,
+		  (std::vector<uint64_t>{ 9007199254740991, 9007199254740990,
+					  8 }));
+}
+
 /*
  * The store goes down as soon as any host has applied a new version. The other
  * hosts must get it from their peers.
