--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -1,4 +1,4 @@
-#include "bootstrap.h"
+#include "bootstrap_state.h"
 
 #include "fescue/error.h"
 #include "log.h"
@@ -6,9 +6,6 @@
 #include <inttypes.h>
 #include <string.h>
 
-#define RENDEZVOUS_PREFIX "fescue/rendezvous/"
-#define RENDEZVOUS_TTL_MS 10000
-#define RENDEZVOUS_RENEW_MS 3000
 #define RETRY_MIN_MS 250
 /* Half of the time within which a change must be active. */
 #define RETRY_MAX_MS 1000
@@ -18,8 +15,6 @@
 #define RECHECK_INTERVAL_MS 5000
 #define FLOOR_PROBE_INTERVAL_MS 1000
 #define FLOOR_PROBES_MAX 32 /* per interval; limits control traffic */
-#define CONFLICT_PAUSE_MS 500 /* in which two groups of nodes merge */
-#define RELAY_DELAY_MS 1000 /* in which peers answer a joining node */
 /*
  * Nodes that start at the same time all read an empty list of rendezvous
  * records. Each reads it again after a random delay of up to this, so that most
@@ -32,53 +27,7 @@
  */
 #define WATCH_PAUSE_MS 600
 
-/*
- * Value of stale_ok for store_list(). Host addresses may be a few seconds old;
- * nodes that start at the same time are found only in a fresh list.
- */
-enum list_consistency { LIST_FRESH, LIST_STALE_OK };
-
-enum boot_phase {
-	BOOT_WAIT, /* until attempt_at_ms */
-	BOOT_LIST, /* reading the rendezvous records */
-	BOOT_CONFIG, /* reading the configuration */
-	BOOT_DONE,
-};
-
-struct bootstrap {
-	struct bootstrap_settings settings;
-	GRand *random;
-	enum boot_phase phase;
-	uint64_t attempt_at_ms;
-	uint64_t floor_probe_at_ms; /* while the floor is unconfirmed */
-	uint32_t boot_retry_ms;
-	struct floor floor;
-	uint64_t relay_at_ms; /* earliest time to act as a relay */
-	int list_was_empty; /* it is read again at relay_at_ms */
-	int store_up;
-	uint64_t store_lost_probe_at_ms;
-	struct store_call *boot_call;
-	int watching;
-	struct store_call *watch_call;
-	uint64_t watch_after; /* revision of the store; 0: read the key first */
-	uint64_t watch_at_ms;
-	uint64_t watch_started_ms;
-	uint32_t watch_retry_ms;
-	uint64_t recheck_at_ms;
-	uint64_t lease;
-	int published; /* the record was written under the lease */
-	size_t published_rank;
-	uint64_t record_revision;
-	uint64_t rendezvous_at_ms;
-	struct store_call *rendezvous_call;
-};
-
-static uint64_t bootstrap_now_ms(const struct bootstrap *b)
-{
-	return node_context_now_ms(b->settings.context);
-}
-
-static void update_store_state(struct bootstrap *b, int error)
+void bootstrap_update_store_state(struct bootstrap *b, int error)
 {
 	int up = error != FESCUE_EUNAVAILABLE && error != FESCUE_ETIMEOUT;
 
@@ -151,7 +100,7 @@
 	uint64_t version = 0;
 
 	b->boot_call = NULL;
-	update_store_state(b, result->error);
+	bootstrap_update_store_state(b, result->error);
 	if (result->error && result->error != FESCUE_ENOTFOUND) {
 		schedule_boot_retry(b);
 		return;
@@ -165,29 +114,18 @@
 		  version);
 }
 
-static void join_peer(struct bootstrap *b, const struct store_item *item)
-{
-	char *text = g_strndup(item->value ? item->value : "", item->size);
-	struct address address;
-
-	if (!address_parse(text, &address))
-		membership_join(b->settings.membership, address_key(address),
-				b->settings.outbox);
-	g_free(text);
-}
-
 static void on_list(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
 
 	b->boot_call = NULL;
-	update_store_state(b, result->error);
+	bootstrap_update_store_state(b, result->error);
 	if (result->error) {
 		schedule_boot_retry(b);
 		return;
 	}
 	for (size_t i = 0; i < result->item_count; i++)
-		join_peer(b, &result->items[i]);
+		rendezvous_join(b, &result->items[i]);
 	b->settings.changed(b->settings.data);
 	b->list_was_empty = !result->item_count;
 	b->relay_at_ms = bootstrap_now_ms(b) + RELAY_DELAY_MS;
@@ -243,7 +181,7 @@
 		  bootstrap_now_ms(b) - b->watch_started_ms, b->store_up);
 	b->watch_at_ms = bootstrap_now_ms(b) +
 			 jitter(b, next_retry_delay_ms(&b->watch_retry_ms));
-	update_store_state(b, error);
+	bootstrap_update_store_state(b, error);
 }
 
 static void watch_succeeded(struct bootstrap *b,
@@ -253,7 +191,7 @@
 	b->watch_at_ms = bootstrap_now_ms(b) + pause;
 	if (result->store_revision)
 		b->watch_after = result->store_revision;
-	update_store_state(b, FESCUE_OK);
+	bootstrap_update_store_state(b, FESCUE_OK);
 }
 
 /* The key is read first when there is no revision from which to watch. */
@@ -302,16 +240,6 @@
 	}
 }
 
-/*
- * A joining node waits for its peers' answers: before it knows them, it would
- * rank itself first.
- */
-static int may_act_as_relay(const struct bootstrap *b, uint64_t now_ms)
-{
-	return b->phase == BOOT_DONE && now_ms >= b->relay_at_ms &&
-	       !b->list_was_empty;
-}
-
 static void watch_tick(struct bootstrap *b, uint64_t now_ms)
 {
 	if (!b->watching || b->watch_call || now_ms < b->watch_at_ms ||
@@ -325,137 +253,12 @@
 					  on_reread, b);
 }
 
-/* Joins the listed addresses, so that separate groups of nodes merge. */
-static void on_list_read(void *data, const struct store_result *result)
-{
-	struct bootstrap *b = data;
-
-	b->rendezvous_call = NULL;
-	update_store_state(b, result->error);
-	for (size_t i = 0; i < result->item_count; i++)
-		join_peer(b, &result->items[i]);
-	b->settings.changed(b->settings.data);
-}
-
-/* If no peers are found again, the node may act as a relay at once. */
-static void on_second_list(void *data, const struct store_result *result)
-{
-	struct bootstrap *b = data;
-
-	on_list_read(data, result);
-	b->list_was_empty = 0;
-	b->relay_at_ms =
-		bootstrap_now_ms(b) + (result->item_count ? RELAY_DELAY_MS : 0);
-}
-
-static void read_list(struct bootstrap *b, enum list_consistency consistency,
-		      void (*done)(void *data,
-				   const struct store_result *result))
-{
-	b->rendezvous_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
-					consistency, done, b);
-}
-
-static void second_list_tick(struct bootstrap *b, uint64_t now_ms)
-{
-	if (b->list_was_empty && b->phase == BOOT_DONE && !b->rendezvous_call &&
-	    now_ms >= b->relay_at_ms)
-		read_list(b, LIST_FRESH, on_second_list);
-}
-
-/*
- * On a conflict another node has published a record for the same rank. This
- * node joins it. If it still has that rank after a pause, it replaces the
- * record.
- */
-static void on_published(void *data, const struct store_result *result)
-{
-	struct bootstrap *b = data;
-
-	b->rendezvous_call = NULL;
-	update_store_state(b, result->error);
-	b->record_revision = result->revision;
-	b->published = result->error == FESCUE_OK;
-	if (result->error == FESCUE_ECONFLICT) {
-		b->rendezvous_at_ms = bootstrap_now_ms(b) + CONFLICT_PAUSE_MS;
-		read_list(b, LIST_FRESH, on_list_read);
-	}
-}
-
-static void on_granted(void *data, const struct store_result *result)
-{
-	struct bootstrap *b = data;
-
-	b->rendezvous_call = NULL;
-	update_store_state(b, result->error);
-	if (result->error)
-		return;
-	b->lease = result->lease;
-	log_event(LOG_STATE, "lease_granted", "\"lease\":%" PRIu64, b->lease);
-	b->published = 0;
-	b->rendezvous_at_ms = 0;
-}
-
-static void on_renewed(void *data, const struct store_result *result)
-{
-	struct bootstrap *b = data;
-
-	b->rendezvous_call = NULL;
-	update_store_state(b, result->error);
-	if (result->error == FESCUE_ENOTFOUND) {
-		log_event(LOG_STATE, "lease_lost", "\"lease\":%" PRIu64,
-			  b->lease);
-		b->lease = 0;
-	}
-	if (!result->error)
-		read_list(b, LIST_STALE_OK, on_list_read);
-}
-
-static void publish(struct bootstrap *b)
-{
-	size_t rank = distribution_rank(b->settings.distribution);
-	char key[160], value[ADDRESS_TEXT_BYTES];
-
-	if (rank != b->published_rank)
-		b->record_revision = 0;
-	b->published_rank = rank;
-	g_snprintf(key, sizeof(key), RENDEZVOUS_PREFIX "%s/%zu",
-		   b->settings.failure_domain, rank);
-	address_format(b->settings.peer_address, value);
-	b->rendezvous_call = store_put(b->settings.store, key, value,
-				       strlen(value), b->record_revision,
-				       b->lease, on_published, b);
-}
-
-/* A relay keeps a leased record by which joining nodes find peers. */
-static void rendezvous_tick(struct bootstrap *b, uint64_t now_ms)
-{
-	size_t rank = distribution_rank(b->settings.distribution);
-
-	if (rank >= b->settings.relays_per_domain || b->rendezvous_call ||
-	    !may_act_as_relay(b, now_ms))
-		return;
-	if (b->published && rank != b->published_rank)
-		b->published = 0;
-	if (now_ms < b->rendezvous_at_ms)
-		return;
-	b->rendezvous_at_ms = now_ms + RENDEZVOUS_RENEW_MS;
-	if (!b->lease)
-		b->rendezvous_call = store_lease_grant(
-			b->settings.store, RENDEZVOUS_TTL_MS, on_granted, b);
-	else if (!b->published)
-		publish(b);
-	else
-		b->rendezvous_call = store_lease_renew(b->settings.store,
-						       b->lease, on_renewed, b);
-}
-
 static void on_rechecked(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
 
 	b->watch_call = NULL;
-	update_store_state(b, result->error);
+	bootstrap_update_store_state(b, result->error);
 	if (!result->error)
 		process_config_value(b, result);
 }
@@ -488,8 +291,8 @@
 	boot_tick(b, now_ms);
 	watch_tick(b, now_ms);
 	recheck_tick(b, now_ms);
-	second_list_tick(b, now_ms);
-	rendezvous_tick(b, now_ms);
+	rendezvous_read_again(b, now_ms);
+	rendezvous_publish(b, now_ms);
 }
 
 struct bootstrap *bootstrap_create(const struct bootstrap_settings *settings)
--- /dev/null
+++ b/src/bootstrap_rendezvous.c
@@ -0,0 +1,147 @@
+/* Rendezvous records, by which nodes that start find peers. */
+#include "bootstrap_state.h"
+
+#include "fescue/error.h"
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define RENDEZVOUS_TTL_MS 10000
+#define RENDEZVOUS_RENEW_MS 3000
+#define CONFLICT_PAUSE_MS 500 /* in which two groups of nodes merge */
+
+void rendezvous_join(struct bootstrap *b, const struct store_item *item)
+{
+	char *text = g_strndup(item->value ? item->value : "", item->size);
+	struct address address;
+
+	if (!address_parse(text, &address))
+		membership_join(b->settings.membership, address_key(address),
+				b->settings.outbox);
+	g_free(text);
+}
+
+/* Joins the listed addresses, so that separate groups of nodes merge. */
+static void on_list_read(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	bootstrap_update_store_state(b, result->error);
+	for (size_t i = 0; i < result->item_count; i++)
+		rendezvous_join(b, &result->items[i]);
+	b->settings.changed(b->settings.data);
+}
+
+/* If no peers are found again, the node may act as a relay at once. */
+static void on_second_list(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	on_list_read(data, result);
+	b->list_was_empty = 0;
+	b->relay_at_ms =
+		bootstrap_now_ms(b) + (result->item_count ? RELAY_DELAY_MS : 0);
+}
+
+static void read_list(struct bootstrap *b, enum list_consistency consistency,
+		      void (*done)(void *data,
+				   const struct store_result *result))
+{
+	b->rendezvous_call = store_list(b->settings.store, RENDEZVOUS_PREFIX,
+					consistency, done, b);
+}
+
+void rendezvous_read_again(struct bootstrap *b, uint64_t now_ms)
+{
+	if (b->list_was_empty && b->phase == BOOT_DONE && !b->rendezvous_call &&
+	    now_ms >= b->relay_at_ms)
+		read_list(b, LIST_FRESH, on_second_list);
+}
+
+/*
+ * On a conflict another node has published a record for the same rank. This
+ * node joins it. If it still has that rank after a pause, it replaces the
+ * record.
+ */
+static void on_published(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	bootstrap_update_store_state(b, result->error);
+	b->record_revision = result->revision;
+	b->published = result->error == FESCUE_OK;
+	if (result->error == FESCUE_ECONFLICT) {
+		b->rendezvous_at_ms = bootstrap_now_ms(b) + CONFLICT_PAUSE_MS;
+		read_list(b, LIST_FRESH, on_list_read);
+	}
+}
+
+static void on_granted(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	bootstrap_update_store_state(b, result->error);
+	if (result->error)
+		return;
+	b->lease = result->lease;
+	log_event(LOG_STATE, "lease_granted", "\"lease\":%" PRIu64, b->lease);
+	b->published = 0;
+	b->rendezvous_at_ms = 0;
+}
+
+static void on_renewed(void *data, const struct store_result *result)
+{
+	struct bootstrap *b = data;
+
+	b->rendezvous_call = NULL;
+	bootstrap_update_store_state(b, result->error);
+	if (result->error == FESCUE_ENOTFOUND) {
+		log_event(LOG_STATE, "lease_lost", "\"lease\":%" PRIu64,
+			  b->lease);
+		b->lease = 0;
+	}
+	if (!result->error)
+		read_list(b, LIST_STALE_OK, on_list_read);
+}
+
+static void publish(struct bootstrap *b)
+{
+	size_t rank = distribution_rank(b->settings.distribution);
+	char key[160], value[ADDRESS_TEXT_BYTES];
+
+	if (rank != b->published_rank)
+		b->record_revision = 0;
+	b->published_rank = rank;
+	g_snprintf(key, sizeof(key), RENDEZVOUS_PREFIX "%s/%zu",
+		   b->settings.failure_domain, rank);
+	address_format(b->settings.peer_address, value);
+	b->rendezvous_call = store_put(b->settings.store, key, value,
+				       strlen(value), b->record_revision,
+				       b->lease, on_published, b);
+}
+
+void rendezvous_publish(struct bootstrap *b, uint64_t now_ms)
+{
+	size_t rank = distribution_rank(b->settings.distribution);
+
+	if (rank >= b->settings.relays_per_domain || b->rendezvous_call ||
+	    !may_act_as_relay(b, now_ms))
+		return;
+	if (b->published && rank != b->published_rank)
+		b->published = 0;
+	if (now_ms < b->rendezvous_at_ms)
+		return;
+	b->rendezvous_at_ms = now_ms + RENDEZVOUS_RENEW_MS;
+	if (!b->lease)
+		b->rendezvous_call = store_lease_grant(
+			b->settings.store, RENDEZVOUS_TTL_MS, on_granted, b);
+	else if (!b->published)
+		publish(b);
+	else
+		b->rendezvous_call = store_lease_renew(b->settings.store,
+						       b->lease, on_renewed, b);
+}
--- /dev/null
+++ b/src/bootstrap_state.h
@@ -0,0 +1,82 @@
+/*
+ * The internal state of a bootstrap, and the functions that keep the rendezvous
+ * records.
+ */
+#ifndef FESCUE_BOOTSTRAP_STATE_H
+#define FESCUE_BOOTSTRAP_STATE_H
+
+#include "bootstrap.h"
+
+#define RENDEZVOUS_PREFIX "fescue/rendezvous/"
+#define RELAY_DELAY_MS 1000 /* in which peers answer a joining node */
+
+/*
+ * Value of stale_ok for store_list(). Host addresses may be a few seconds old;
+ * nodes that start at the same time are found only in a fresh list.
+ */
+enum list_consistency { LIST_FRESH, LIST_STALE_OK };
+
+enum boot_phase {
+	BOOT_WAIT, /* until attempt_at_ms */
+	BOOT_LIST, /* reading the rendezvous records */
+	BOOT_CONFIG, /* reading the configuration */
+	BOOT_DONE,
+};
+
+struct bootstrap {
+	struct bootstrap_settings settings;
+	GRand *random;
+	enum boot_phase phase;
+	uint64_t attempt_at_ms;
+	uint64_t floor_probe_at_ms; /* while the floor is unconfirmed */
+	uint32_t boot_retry_ms;
+	struct floor floor;
+	uint64_t relay_at_ms; /* earliest time to act as a relay */
+	int list_was_empty; /* it is read again at relay_at_ms */
+	int store_up;
+	uint64_t store_lost_probe_at_ms;
+	struct store_call *boot_call;
+	int watching;
+	struct store_call *watch_call;
+	uint64_t watch_after; /* revision of the store; 0: read the key first */
+	uint64_t watch_at_ms;
+	uint64_t watch_started_ms;
+	uint32_t watch_retry_ms;
+	uint64_t recheck_at_ms;
+	uint64_t lease;
+	int published; /* the record was written under the lease */
+	size_t published_rank;
+	uint64_t record_revision;
+	uint64_t rendezvous_at_ms;
+	struct store_call *rendezvous_call;
+};
+
+static inline uint64_t bootstrap_now_ms(const struct bootstrap *b)
+{
+	return node_context_now_ms(b->settings.context);
+}
+
+/*
+ * A joining node waits for its peers' answers: before it knows them, it would
+ * rank itself first.
+ */
+static inline int may_act_as_relay(const struct bootstrap *b, uint64_t now_ms)
+{
+	return b->phase == BOOT_DONE && now_ms >= b->relay_at_ms &&
+	       !b->list_was_empty;
+}
+
+/* Record the result of a store call, whether the store is reachable. */
+void bootstrap_update_store_state(struct bootstrap *bootstrap, int error);
+
+/* Probe the host that a rendezvous record names. */
+void rendezvous_join(struct bootstrap *bootstrap,
+		     const struct store_item *record);
+
+/* Read the records once more if there were none at the start. */
+void rendezvous_read_again(struct bootstrap *bootstrap, uint64_t now_ms);
+
+/* A relay keeps a leased record by which joining nodes find peers. */
+void rendezvous_publish(struct bootstrap *bootstrap, uint64_t now_ms);
+
+#endif
