distribution: report each answer of the store, read it where reports are missed

Callers of undisturbed hosts were served by an older version for seconds while other hosts stood still. A host that is no relay got versions only through others: its domain's two relays, the tree below them, gossip as a repair. With both relays silent nothing bounded the time but the suspicion that declares them dead after 4 s, and gossip with other domains. A relay whose connection to the store went silent looked healthy for 2.4 s and then waited up to 1 s more, longer than the 3 s after which a store counts as undisturbed.

Relays, and the two hosts that replace them, now report each answer of the store to their domain: the newest version, as of when, and the store's revision. A host that has no such report of the last 1.2 s watches the store itself, first those next in rank, the others 150 ms later unless three of the first report that the store does not answer either, so that an outage still does not make all hosts try. Only a host's own path to the store is left to depend on. An answer counts as of the tick before the last, so what a suspended relay read is not taken for news. A relay's watch is held for 0.9 s instead of 1.8.

The planted fault SIM_DROP_FETCHES no longer keeps a host from a version, as the host reads the store; SIM_NO_REPAIR takes that away as well, and the check detects it as before.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -6,8 +6,9 @@
  * new version, pushes it down a tree of the hosts in its domain and applies it
  * once another host is known to hold a copy. Gossip carries the version that
  * each host has applied; a host that is behind fetches the missing version
- * from the peer, which repairs lost pushes. The applied version never
- * decreases.
+ * from the peer, which repairs lost pushes. Relays tell their domain of each
+ * answer of the store, and a host that misses these reports reads the store
+ * itself. The applied version never decreases.
  *
  * The module owns no sockets and reads no clock: the caller passes the time
  * and sends the packets that are left in the outbox.
@@ -164,9 +165,31 @@
 /* Returns the applied version, or 0 before the first one. */
 uint64_t distribution_version(const struct distribution *distribution);
 
-/* Returns 1 if this host is to watch the store, as all do in poll mode. */
+/* Returns 1 if this host is a relay by its rank, as all are in poll mode. */
 int distribution_is_relay(const struct distribution *distribution);
 
+/* Returns 1 if this host is a relay or one of those that replace relays. */
+int distribution_is_candidate(const struct distribution *distribution);
+
+/*
+ * Handle an answer of the store, after the value in it, if any: at as_of_ms it
+ * held no newer version, and store_revision was that of the whole store. Tells
+ * the hosts of the domain if this host is a candidate for a relay.
+ */
+void distribution_confirm(struct distribution *distribution, uint64_t as_of_ms,
+			  uint64_t store_revision, uint64_t now_ms,
+			  struct outbox *outbox);
+
+/* Returns the time since the active version was last known to be the newest. */
+uint64_t distribution_unconfirmed_ms(const struct distribution *distribution,
+				     uint64_t now_ms);
+
+/*
+ * Returns the highest revision of the store up to which this host is known to
+ * have the newest version; 0: none.
+ */
+uint64_t distribution_store_revision(const struct distribution *distribution);
+
 /*
  * Returns the relay rank of this host in its failure domain, from 0. Hosts
  * that cannot reach the store rank last.
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &fescue__config_fetch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   fescue__config_state__init
+                     (Fescue__ConfigState         *message)
+{
+  static const Fescue__ConfigState init_value = FESCUE__CONFIG_STATE__INIT;
+  *message = init_value;
+}
+size_t fescue__config_state__get_packed_size
+                     (const Fescue__ConfigState *message)
+{
+  assert(message->base.descriptor == &fescue__config_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t fescue__config_state__pack
+                     (const Fescue__ConfigState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &fescue__config_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t fescue__config_state__pack_to_buffer
+                     (const Fescue__ConfigState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &fescue__config_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Fescue__ConfigState *
+       fescue__config_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Fescue__ConfigState *)
+     protobuf_c_message_unpack (&fescue__config_state__descriptor,
+                                allocator, len, data);
+}
+void   fescue__config_state__free_unpacked
+                     (Fescue__ConfigState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &fescue__config_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   fescue__header__init
                      (Fescue__Header         *message)
 {
@@ -1806,6 +1851,109 @@
   (ProtobufCMessageInit) fescue__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor fescue__config_state__field_descriptors[6] =
+{
+  {
+    "confirmed",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, confirmed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hash",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, store_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned fescue__config_state__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  0,   /* field[0] = confirmed */
+  2,   /* field[2] = hash */
+  5,   /* field[5] = rank */
+  4,   /* field[4] = store_revision */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange fescue__config_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor fescue__config_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "fescue.ConfigState",
+  "ConfigState",
+  "Fescue__ConfigState",
+  "fescue",
+  sizeof(Fescue__ConfigState),
+  6,
+  fescue__config_state__field_descriptors,
+  fescue__config_state__field_indices_by_name,
+  1,  fescue__config_state__number_ranges,
+  (ProtobufCMessageInit) fescue__config_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor fescue__header__field_descriptors[4] =
 {
   {
@@ -2704,7 +2852,7 @@
   (ProtobufCMessageInit) fescue__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__packet__field_descriptors[18] =
+static const ProtobufCFieldDescriptor fescue__packet__field_descriptors[19] =
 {
   {
     "ping",
@@ -2922,6 +3070,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_state",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Fescue__Packet, body_case),
+    offsetof(Fescue__Packet, config_state),
+    &fescue__config_state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__packet__field_indices_by_name[] = {
   1,   /* field[1] = ack */
@@ -2933,6 +3093,7 @@
   6,   /* field[6] = config_ack */
   7,   /* field[7] = config_fetch */
   5,   /* field[5] = config_push */
+  18,   /* field[18] = config_state */
   16,   /* field[16] = hello */
   13,   /* field[13] = link_ping */
   17,   /* field[17] = link_pong */
@@ -2946,7 +3107,7 @@
 static const ProtobufCIntRange fescue__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor fescue__packet__descriptor =
 {
@@ -2956,7 +3117,7 @@
   "Fescue__Packet",
   "fescue",
   sizeof(Fescue__Packet),
-  18,
+  19,
   fescue__packet__field_descriptors,
   fescue__packet__field_indices_by_name,
   1,  fescue__packet__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Fescue__ConfigPush Fescue__ConfigPush;
 typedef struct Fescue__ConfigAck Fescue__ConfigAck;
 typedef struct Fescue__ConfigFetch Fescue__ConfigFetch;
+typedef struct Fescue__ConfigState Fescue__ConfigState;
 typedef struct Fescue__Header Fescue__Header;
 typedef struct Fescue__CallRequest Fescue__CallRequest;
 typedef struct Fescue__CallAnswer Fescue__CallAnswer;
@@ -263,6 +264,40 @@
     , 0, 0 }
 
 
+/*
+ * Tells the hosts of a failure domain what a host knows of the store's newest
+ * version. Not acknowledged.
+ */
+struct  Fescue__ConfigState
+{
+  ProtobufCMessage base;
+  /*
+   * the store has answered; else it has not
+   */
+  protobuf_c_boolean confirmed;
+  /*
+   * newest valid version at that time
+   */
+  uint64_t version;
+  uint64_t hash;
+  /*
+   * time since then
+   */
+  uint32_t age_ms;
+  /*
+   * of the whole store at that time
+   */
+  uint64_t store_revision;
+  /*
+   * of the sender among the relays of its domain
+   */
+  uint32_t rank;
+};
+#define FESCUE__CONFIG_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&fescue__config_state__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 /*
  * Compressed per link: a number that is sent without text stands for the text
  * that an earlier header on the link defined for it.
@@ -518,7 +553,8 @@
   FESCUE__PACKET__BODY_LINK_PONG = 18,
   FESCUE__PACKET__BODY_QUARANTINE_REPORT = 15,
   FESCUE__PACKET__BODY_QUARANTINE_ACK = 16,
-  FESCUE__PACKET__BODY_HELLO = 17
+  FESCUE__PACKET__BODY_HELLO = 17,
+  FESCUE__PACKET__BODY_CONFIG_STATE = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(FESCUE__PACKET__BODY__CASE)
 } Fescue__Packet__BodyCase;
 
@@ -545,6 +581,7 @@
     Fescue__QuarantineReport *quarantine_report;
     Fescue__QuarantineAck *quarantine_ack;
     Fescue__Hello *hello;
+    Fescue__ConfigState *config_state;
   };
 };
 #define FESCUE__PACKET__INIT \
@@ -742,6 +779,25 @@
 void   fescue__config_fetch__free_unpacked
                      (Fescue__ConfigFetch *message,
                       ProtobufCAllocator *allocator);
+/* Fescue__ConfigState methods */
+void   fescue__config_state__init
+                     (Fescue__ConfigState         *message);
+size_t fescue__config_state__get_packed_size
+                     (const Fescue__ConfigState   *message);
+size_t fescue__config_state__pack
+                     (const Fescue__ConfigState   *message,
+                      uint8_t             *out);
+size_t fescue__config_state__pack_to_buffer
+                     (const Fescue__ConfigState   *message,
+                      ProtobufCBuffer     *buffer);
+Fescue__ConfigState *
+       fescue__config_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   fescue__config_state__free_unpacked
+                     (Fescue__ConfigState *message,
+                      ProtobufCAllocator *allocator);
 /* Fescue__Header methods */
 void   fescue__header__init
                      (Fescue__Header         *message);
@@ -1002,6 +1058,9 @@
 typedef void (*Fescue__ConfigFetch_Closure)
                  (const Fescue__ConfigFetch *message,
                   void *closure_data);
+typedef void (*Fescue__ConfigState_Closure)
+                 (const Fescue__ConfigState *message,
+                  void *closure_data);
 typedef void (*Fescue__Header_Closure)
                  (const Fescue__Header *message,
                   void *closure_data);
@@ -1056,6 +1115,7 @@
 extern const ProtobufCMessageDescriptor fescue__config_push__descriptor;
 extern const ProtobufCMessageDescriptor fescue__config_ack__descriptor;
 extern const ProtobufCMessageDescriptor fescue__config_fetch__descriptor;
+extern const ProtobufCMessageDescriptor fescue__config_state__descriptor;
 extern const ProtobufCMessageDescriptor fescue__header__descriptor;
 extern const ProtobufCMessageDescriptor fescue__call_request__descriptor;
 extern const ProtobufCMessageDescriptor fescue__call_answer__descriptor;
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -9,6 +9,8 @@
 #define RETRY_MIN_MS 250
 /* Half of the time within which a change must be active. */
 #define RETRY_MAX_MS 1000
+/* Of a host that reads the store only because no relay reports of it. */
+#define OTHERS_RETRY_MAX_MS 4000
 /* While the store is unreachable, probes to peers bring new versions. */
 #define STORE_LOST_PROBE_INTERVAL_MS 300
 /* Longest interval at which a host without a watch retries a lost store. */
@@ -27,6 +29,12 @@
  */
 #define WATCH_PAUSE_MS 600
 
+/*
+ * Time between two answers to a watch. Less than what the distribution waits
+ * for a report of the next answer.
+ */
+#define WATCH_INTERVAL_MS 900
+
 void bootstrap_update_store_state(struct bootstrap *b, int error)
 {
 	int up = error != FESCUE_EUNAVAILABLE && error != FESCUE_ETIMEOUT;
@@ -39,7 +47,27 @@
 			  distribution_rank(b->settings.distribution));
 	b->store_up = up;
 	distribution_set_store_reachable(b->settings.distribution, up);
-	membership_set_store_lost(b->settings.membership, !up);
+	/* The ranks of relays depend on candidates only. */
+	membership_set_store_lost(
+		b->settings.membership,
+		!up && distribution_is_candidate(b->settings.distribution));
+}
+
+/*
+ * Handles an answer to a call that started at started_ms. The answer was not
+ * there at the tick before the last one, or it would have been read; a process
+ * that was suspended knows no more.
+ */
+static void confirm_version(struct bootstrap *b, uint64_t started_ms,
+			    const struct store_result *result)
+{
+	const struct bootstrap_settings *s = &b->settings;
+
+	b->confirmed_ms = MAX(started_ms, b->previous_tick_ms);
+	distribution_confirm(s->distribution, b->confirmed_ms,
+			     result->store_revision, bootstrap_now_ms(b),
+			     s->outbox);
+	s->changed(s->data);
 }
 
 static uint32_t jitter(struct bootstrap *b, uint32_t ms)
@@ -48,20 +76,24 @@
 					  (gint)ms + 1);
 }
 
-/* Returns the delay before a retry and doubles it for the next one. */
-static uint32_t next_retry_delay_ms(uint32_t *retry_ms)
+/*
+ * Returns the delay before a retry, max_ms at most, and doubles it for the next
+ * one.
+ */
+static uint32_t next_retry_delay_ms(uint32_t *retry_ms, uint32_t max_ms)
 {
-	uint32_t delay_ms = *retry_ms;
+	uint32_t delay_ms = MIN(*retry_ms, max_ms);
 
-	*retry_ms = MIN(*retry_ms * 2, RETRY_MAX_MS);
+	*retry_ms = MIN(*retry_ms * 2, max_ms);
 	return delay_ms;
 }
 
 static void schedule_boot_retry(struct bootstrap *b)
 {
 	b->phase = BOOT_WAIT;
-	b->attempt_at_ms = bootstrap_now_ms(b) +
-			   jitter(b, next_retry_delay_ms(&b->boot_retry_ms));
+	b->attempt_at_ms =
+		bootstrap_now_ms(b) +
+		jitter(b, next_retry_delay_ms(&b->boot_retry_ms, RETRY_MAX_MS));
 }
 
 static const char *config_key(const struct bootstrap *b)
@@ -108,6 +140,7 @@
 	if (!result->error)
 		version = process_config_value(b, result);
 	b->watch_after = result->store_revision;
+	confirm_version(b, b->boot_call_started_ms, result);
 	floor_confirm_by_store(&b->floor, version);
 	b->phase = BOOT_DONE;
 	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
@@ -134,6 +167,7 @@
 				 (uint64_t)g_rand_int_range(
 					 b->random, 0, EMPTY_LIST_SPREAD_MS);
 	b->phase = BOOT_CONFIG;
+	b->boot_call_started_ms = bootstrap_now_ms(b);
 	b->boot_call =
 		store_get(b->settings.store, config_key(b), on_boot_config, b);
 }
@@ -175,12 +209,17 @@
 
 static void watch_failed(struct bootstrap *b, int error)
 {
+	uint32_t max_ms = distribution_is_candidate(b->settings.distribution) ?
+				  RETRY_MAX_MS :
+				  OTHERS_RETRY_MAX_MS;
+
 	log_event(LOG_STATE, "watch_failed",
 		  "\"error\":\"%s\",\"waited_ms\":%" PRIu64 ",\"store_up\":%d",
 		  fescue_strerror(error),
 		  bootstrap_now_ms(b) - b->watch_started_ms, b->store_up);
-	b->watch_at_ms = bootstrap_now_ms(b) +
-			 jitter(b, next_retry_delay_ms(&b->watch_retry_ms));
+	b->watch_at_ms =
+		bootstrap_now_ms(b) +
+		jitter(b, next_retry_delay_ms(&b->watch_retry_ms, max_ms));
 	bootstrap_update_store_state(b, error);
 }
 
@@ -192,6 +231,7 @@
 	if (result->store_revision)
 		b->watch_after = result->store_revision;
 	bootstrap_update_store_state(b, FESCUE_OK);
+	confirm_version(b, b->watch_started_ms, result);
 }
 
 /* The key is read first when there is no revision from which to watch. */
@@ -240,15 +280,30 @@
 	}
 }
 
+/* A host that has not heard of the store for long is answered at once. */
+static uint32_t watch_wait_ms(const struct bootstrap *b, uint64_t now_ms)
+{
+	uint64_t until_ms = b->confirmed_ms + WATCH_INTERVAL_MS;
+
+	return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 1;
+}
+
 static void watch_tick(struct bootstrap *b, uint64_t now_ms)
 {
+	uint64_t known = distribution_store_revision(b->settings.distribution);
+
 	if (!b->watching || b->watch_call || now_ms < b->watch_at_ms ||
 	    !may_act_as_relay(b, now_ms))
 		return;
 	b->watch_started_ms = now_ms;
+	/* Only changes that the distribution has not heard of are needed. */
+	if (b->watch_after)
+		b->watch_after = MAX(b->watch_after, known);
 	b->watch_call = b->watch_after ?
 				store_watch(b->settings.store, config_key(b),
-					    b->watch_after, on_watch, b) :
+					    b->watch_after,
+					    watch_wait_ms(b, now_ms), on_watch,
+					    b) :
 				store_get(b->settings.store, config_key(b),
 					  on_reread, b);
 }
@@ -259,8 +314,10 @@
 
 	b->watch_call = NULL;
 	bootstrap_update_store_state(b, result->error);
-	if (!result->error)
-		process_config_value(b, result);
+	if (result->error)
+		return;
+	process_config_value(b, result);
+	confirm_version(b, b->watch_started_ms, result);
 }
 
 /* Without a watch, the host polls whether the store is reachable again. */
@@ -270,6 +327,7 @@
 	    b->phase != BOOT_DONE || now_ms < b->recheck_at_ms)
 		return;
 	b->recheck_at_ms = now_ms + jitter(b, RECHECK_INTERVAL_MS);
+	b->watch_started_ms = now_ms;
 	b->watch_call =
 		store_get(b->settings.store, config_key(b), on_rechecked, b);
 }
@@ -287,6 +345,8 @@
 {
 	uint64_t now_ms = bootstrap_now_ms(b);
 
+	b->previous_tick_ms = b->tick_ms;
+	b->tick_ms = now_ms;
 	store_lost_probe_tick(b, now_ms);
 	boot_tick(b, now_ms);
 	watch_tick(b, now_ms);
@@ -341,7 +401,6 @@
 void bootstrap_set_watching(struct bootstrap *b, int watch)
 {
 	b->watching = watch;
-	b->watch_at_ms = 0;
 	if (watch || !b->watch_call)
 		return;
 	store_call_cancel(b->watch_call);
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -148,7 +148,7 @@
 	       d->settings.mode == DISTRIBUTION_RELAY && !is_only_live_host(d);
 }
 
-static void apply_staged(struct distribution *d)
+void apply_staged(struct distribution *d)
 {
 	if (d->staged.version)
 		apply_text(d, &d->staged);
@@ -157,14 +157,22 @@
 static void schedule_push(struct distribution *d, uint64_t now_ms,
 			  struct outbox *outbox)
 {
-	uint64_t delay = d->rank * d->settings.backup_delay_ms;
+	size_t rank = d->rank;
+	int in_place = d->settings.mode == DISTRIBUTION_RELAY && !d->is_relay;
 
-	if (!delay) {
+	/* The relays are silent, and the other hosts read the store as well. */
+	if (in_place)
+		rank -= MIN(rank, d->settings.relays_per_domain);
+	if (in_place && !d->is_candidate) {
+		if (d->staged.version)
+			push_to_any_host(d, now_ms, outbox);
+	} else if (!rank) {
 		push_to_domain(d, now_ms, outbox);
 		if (d->staged.version)
 			push_to_any_host(d, now_ms, outbox);
 	} else {
-		d->backup_push_due_ms = now_ms + delay;
+		d->backup_push_due_ms =
+			now_ms + rank * d->settings.backup_delay_ms;
 	}
 }
 
@@ -224,7 +232,7 @@
 {
 	uint32_t delay = d->settings.fetch_delay_ms;
 
-	return d->watching ? delay : delay / 2;
+	return d->is_relay ? delay : delay / 2;
 }
 
 void distribution_receive_peer_version(struct distribution *d, uint64_t peer,
@@ -280,7 +288,7 @@
 	outbox_send(outbox, to, PACKET_CONFIG, packet);
 }
 
-static int is_own_domain(const struct distribution *d, uint64_t peer)
+int is_own_domain(const struct distribution *d, uint64_t peer)
 {
 	const struct host *self = membership_self(d->membership);
 	const struct host *host = membership_find(d->membership, peer);
@@ -392,31 +400,45 @@
 	case FESCUE__PACKET__BODY_CONFIG_FETCH:
 		receive_fetch(d, from, packet->config_fetch, outbox);
 		break;
+	case FESCUE__PACKET__BODY_CONFIG_STATE:
+		freshness_receive(d, from, packet->config_state, now_ms,
+				  outbox);
+		break;
 	default:
 		break;
 	}
 }
 
-/*
- * Start or stop watching the store. A candidate that cannot reach the store
- * keeps watching, so that it notices when the store is back.
- */
-static void update_relay_role(struct distribution *d)
+static void update_rank(struct distribution *d)
 {
 	uint64_t generation = membership_relay_generation(d->membership);
 	struct domain_rank rank;
-	int is_candidate, watch;
 
 	if (generation == d->role_generation)
 		return;
 	d->role_generation = generation;
 	rank = failure_domain_rank(d->membership, "relay");
 	d->rank = rank.by_store_access;
-	is_candidate = rank.by_capacity <
-		       d->settings.relays_per_domain + STANDBY_RELAYS;
-	watch = d->settings.mode == DISTRIBUTION_POLL ||
-		(is_candidate && (d->rank < d->settings.relays_per_domain ||
-				  membership_self(d->membership)->store_lost));
+	d->candidate_rank = rank.by_capacity;
+	d->is_candidate = rank.by_capacity <
+			  d->settings.relays_per_domain + STANDBY_RELAYS;
+	/*
+	 * A candidate that cannot reach the store keeps watching, so that it
+	 * notices when the store is back.
+	 */
+	d->is_relay = d->is_candidate &&
+		      (d->rank < d->settings.relays_per_domain ||
+		       membership_self(d->membership)->store_lost);
+}
+
+/* Start or stop watching the store. */
+static void update_relay_role(struct distribution *d, uint64_t now_ms)
+{
+	int missed = freshness_is_missed(d, now_ms);
+	int watch;
+
+	update_rank(d);
+	watch = d->settings.mode == DISTRIBUTION_POLL || d->is_relay || missed;
 	if (watch == d->watching)
 		return;
 	d->watching = watch;
@@ -459,7 +481,8 @@
 void distribution_tick(struct distribution *d, uint64_t now_ms,
 		       struct outbox *outbox)
 {
-	update_relay_role(d);
+	update_relay_role(d, now_ms);
+	freshness_report(d, now_ms, outbox);
 	push_handle_timeouts(d, now_ms, outbox);
 	if (d->backup_push_due_ms && now_ms >= d->backup_push_due_ms)
 		push_to_domain(d, now_ms, outbox);
@@ -519,7 +542,12 @@
 
 int distribution_is_relay(const struct distribution *d)
 {
-	return d->watching;
+	return d->is_relay || d->settings.mode == DISTRIBUTION_POLL;
+}
+
+int distribution_is_candidate(const struct distribution *d)
+{
+	return d->is_candidate || d->settings.mode == DISTRIBUTION_POLL;
 }
 
 size_t distribution_rank(const struct distribution *d)
--- /dev/null
+++ b/src/distribution_freshness.c
@@ -0,0 +1,169 @@
+/*
+ * Freshness of the active version: when the store last confirmed that it has no
+ * newer one.
+ *
+ * The candidates for relays of a domain tell its hosts of each answer of the
+ * store, and also when they get none. A host that misses such news reads the
+ * store itself. So an undisturbed host that reaches the store gets each version
+ * in bounded time, whatever happens to other hosts and to the links with them.
+ */
+#include "distribution_state.h"
+
+#include "failure_domain.h"
+
+/* Beyond the time between two answers to a relay. */
+#define FRESH_MS 1200
+/* Lets the candidates read first, and their news arrive. */
+#define OTHERS_DELAY_MS 150
+#define REPORT_INTERVAL_MS 500
+#define SEEKER_TTL_MS (2 * REPORT_INTERVAL_MS + 200)
+/*
+ * If so many candidates get no answer, the store is lost rather than the paths
+ * of single hosts, and the others do not try it.
+ */
+#define SEEKERS_MAX 3
+
+static void send_state(struct distribution *d, int confirmed, uint64_t now_ms,
+		       struct outbox *outbox)
+{
+	const struct version_text *text = newest_text(d);
+	GArray *hosts = failure_domain_hosts(d->membership, "state", 0);
+
+	for (guint i = 0; i < hosts->len; i++) {
+		Fescue__Packet *packet =
+			packet_create(FESCUE__PACKET__BODY_CONFIG_STATE);
+		Fescue__ConfigState *state = packet->config_state;
+
+		state->confirmed = confirmed;
+		state->rank = (uint32_t)d->candidate_rank;
+		if (confirmed) {
+			state->version = text->version;
+			state->hash = text->hash;
+			state->age_ms =
+				(uint32_t)(now_ms - d->freshness.own_ms);
+			state->store_revision = d->freshness.store_revision;
+		}
+		outbox_send(outbox, g_array_index(hosts, uint64_t, i),
+			    PACKET_CONFIG, packet);
+	}
+	g_array_free(hosts, TRUE);
+}
+
+static int reports_state(const struct distribution *d)
+{
+	return d->settings.mode == DISTRIBUTION_RELAY && d->is_candidate;
+}
+
+void distribution_confirm(struct distribution *d, uint64_t as_of_ms,
+			  uint64_t store_revision, uint64_t now_ms,
+			  struct outbox *outbox)
+{
+	struct freshness *f = &d->freshness;
+
+	f->own_ms = MAX(f->own_ms, MIN(as_of_ms, now_ms));
+	f->known_ms = MAX(f->known_ms, f->own_ms);
+	f->store_revision = MAX(f->store_revision, store_revision);
+	if (reports_state(d))
+		send_state(d, 1, now_ms, outbox);
+}
+
+static void accept_confirmation(struct distribution *d,
+				const struct confirmation *confirmation)
+{
+	struct freshness *f = &d->freshness;
+
+	f->known_ms = MAX(f->known_ms, confirmation->as_of_ms);
+	f->store_revision =
+		MAX(f->store_revision, confirmation->store_revision);
+	if (confirmation->rank < d->candidate_rank)
+		f->better_ms = MAX(f->better_ms, confirmation->as_of_ms);
+}
+
+/* Accept the confirmation of a version that has arrived since. */
+static void accept_ahead(struct distribution *d)
+{
+	struct confirmation *ahead = &d->freshness.ahead;
+
+	if (!ahead->version || ahead->version > newest_text(d)->version)
+		return;
+	accept_confirmation(d, ahead);
+	ahead->version = 0;
+}
+
+void freshness_receive(struct distribution *d, uint64_t from,
+		       const Fescue__ConfigState *state, uint64_t now_ms,
+		       struct outbox *outbox)
+{
+	struct freshness *f = &d->freshness;
+	struct confirmation confirmation = {
+		state->version, now_ms - MIN(now_ms, state->age_ms),
+		state->store_revision, state->rank
+	};
+
+	if (!is_own_domain(d, from))
+		return;
+	if (state->rank < CANDIDATES_MAX)
+		f->seeker_ms[state->rank] = state->confirmed ? 0 : now_ms;
+	if (!state->confirmed)
+		return;
+	if (state->version >= d->staged.version)
+		apply_staged(d);
+	if (state->version <= newest_text(d)->version) {
+		accept_confirmation(d, &confirmation);
+		return;
+	}
+	f->ahead = confirmation;
+	distribution_receive_peer_version(d, from, state->version, state->hash,
+					  now_ms, outbox);
+}
+
+static size_t count_seekers(const struct freshness *f, uint64_t now_ms)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < CANDIDATES_MAX; i++)
+		n += f->seeker_ms[i] &&
+		     now_ms < f->seeker_ms[i] + SEEKER_TTL_MS;
+	return n;
+}
+
+int freshness_is_missed(struct distribution *d, uint64_t now_ms)
+{
+	struct freshness *f = &d->freshness;
+
+	if (!f->known_ms)
+		f->known_ms = now_ms;
+	if (!f->better_ms)
+		f->better_ms = now_ms;
+	if (d->settings.mode != DISTRIBUTION_RELAY)
+		return 0;
+	accept_ahead(d);
+	/* Only hosts ranked before count, so that one of the rest goes on. */
+	if (d->is_candidate)
+		return now_ms >= f->better_ms + FRESH_MS;
+	return now_ms >= f->known_ms + FRESH_MS + OTHERS_DELAY_MS &&
+	       count_seekers(f, now_ms) < SEEKERS_MAX;
+}
+
+void freshness_report(struct distribution *d, uint64_t now_ms,
+		      struct outbox *outbox)
+{
+	struct freshness *f = &d->freshness;
+
+	if (!reports_state(d) || !d->watching ||
+	    now_ms < f->own_ms + FRESH_MS || now_ms < f->report_due_ms)
+		return;
+	f->report_due_ms = now_ms + REPORT_INTERVAL_MS;
+	send_state(d, 0, now_ms, outbox);
+}
+
+uint64_t distribution_unconfirmed_ms(const struct distribution *d,
+				     uint64_t now_ms)
+{
+	return now_ms - MIN(now_ms, d->freshness.known_ms);
+}
+
+uint64_t distribution_store_revision(const struct distribution *d)
+{
+	return d->freshness.store_revision;
+}
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -18,12 +18,42 @@
 	GArray *subtree; /* uint64_t: hosts that the child forwards to */
 };
 
+/* Hosts of a domain that may act as relays: 16 relays, 2 that replace them. */
+#define CANDIDATES_MAX 18
+
+/* An answer of the store to a candidate of the domain. */
+struct confirmation {
+	uint64_t version; /* newest valid one; 0: no confirmation */
+	uint64_t as_of_ms;
+	uint64_t store_revision; /* of the whole store */
+	size_t rank; /* of the candidate */
+};
+
+/*
+ * When the store confirmed that it has no newer version than the newest text,
+ * at the latest. Times are those of the store's answers, or earlier.
+ */
+struct freshness {
+	uint64_t own_ms; /* answer to this host; 0: none */
+	uint64_t known_ms; /* answer to any host of the domain */
+	uint64_t better_ms; /* answer to a candidate ranked before this host */
+	uint64_t store_revision; /* of the whole store at known_ms */
+	struct confirmation ahead; /* of a version that is not here yet */
+	uint64_t report_due_ms;
+	/* When the candidate of each rank last reported to get no answer. */
+	uint64_t seeker_ms[CANDIDATES_MAX];
+};
+
 struct distribution {
 	struct distribution_settings settings;
 	const struct membership *membership;
 	uint64_t role_generation; /* of membership, at the last role update */
 	size_t rank;
+	int is_candidate; /* ranked well enough to become a relay */
+	size_t candidate_rank; /* as if all hosts reached the store */
+	int is_relay; /* by rank */
 	int watching; /* this host is to watch the store */
+	struct freshness freshness;
 	struct version_history history; /* the first text is the active one */
 	struct version_text staged; /* validated, not yet applied */
 	struct version_source source; /* of the text validated last */
@@ -101,4 +131,25 @@
 
 void pending_push_clear(gpointer pending);
 
+/* Apply the staged text, if any: another host holds a copy. */
+void apply_staged(struct distribution *d);
+
+/* Whether a peer is known to be in the own failure domain. */
+int is_own_domain(const struct distribution *d, uint64_t peer);
+
+/* Handle a peer's report of what it knows of the store. */
+void freshness_receive(struct distribution *d, uint64_t from,
+		       const Fescue__ConfigState *state, uint64_t now_ms,
+		       struct outbox *outbox);
+
+/*
+ * Whether this host is to read the store because no host that should have has
+ * reported an answer of it.
+ */
+int freshness_is_missed(struct distribution *d, uint64_t now_ms);
+
+/* Report to the domain, if it is due, that the store does not answer here. */
+void freshness_report(struct distribution *d, uint64_t now_ms,
+		      struct outbox *outbox);
+
 #endif
--- a/src/node_config.c
+++ b/src/node_config.c
@@ -170,6 +170,17 @@
 	g_array_free(hosts, TRUE);
 }
 
+static void set_watching(struct node *node, int watch)
+{
+	const struct distribution *d = node->distribution;
+
+	log_event(LOG_STATE, watch ? "store_watched" : "store_not_watched",
+		  "\"relay\":%d,\"rank\":%zu,\"unconfirmed_ms\":%" PRIu64,
+		  distribution_is_relay(d), distribution_rank(d),
+		  distribution_unconfirmed_ms(d, node_now_ms(node)));
+	bootstrap_set_watching(node->bootstrap, watch);
+}
+
 void node_update_config(struct node *node)
 {
 	struct distribution_action action;
@@ -183,10 +194,8 @@
 			record_rejection(node, &action);
 			break;
 		case DISTRIBUTION_WATCH:
-			bootstrap_set_watching(node->bootstrap, 1);
-			break;
 		case DISTRIBUTION_UNWATCH:
-			bootstrap_set_watching(node->bootstrap, 0);
+			set_watching(node, action.type == DISTRIBUTION_WATCH);
 			break;
 		}
 	}
--- a/src/transport.c
+++ b/src/transport.c
@@ -76,6 +76,7 @@
 		return PACKET_REPAIR;
 	case FESCUE__PACKET__BODY_CONFIG_PUSH:
 	case FESCUE__PACKET__BODY_CONFIG_ACK:
+	case FESCUE__PACKET__BODY_CONFIG_STATE:
 		return PACKET_CONFIG;
 	default:
 		return PACKET_CALL;
--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -22,6 +22,7 @@
 #include <set>
 
 const uint64_t SIM_TICK_MS = 50;
+const uint64_t SIM_WATCH_INTERVAL_MS = 900;
 const uint64_t SIM_RENDEZVOUS_TTL_MS = 10000;
 const uint64_t SIM_RENDEZVOUS_PERIOD_MS = 3000;
 const size_t SIM_RENDEZVOUS_PER_DOMAIN = 2;
@@ -61,6 +62,7 @@
 	uint64_t boot_at_ms = 0, store_read_at_ms = 0;
 	uint64_t rendezvous_write_at_ms = 0, floor_probe_at_ms = 0;
 	uint64_t peer_probe_at_ms = 0; /* while the store is unreachable */
+	uint64_t confirm_at_ms = 0; /* next answer to its watch */
 	uint64_t read_revision = 0; /* last one read from the store */
 	uint64_t version = 0; /* applied since the last start */
 	uint64_t highest_served = 0; /* at this address, across restarts */
@@ -71,7 +73,7 @@
 enum sim_fault {
 	SIM_NO_FAULT,
 	SIM_NO_FLOOR, /* a restarted node serves any version it receives */
-	SIM_DROP_FETCHES, /* every ConfigFetch is lost */
+	SIM_NO_REPAIR, /* every ConfigFetch is lost, only relays read the store */
 	SIM_UNACCEPTED_TEXT, /* reads return a text that was never accepted */
 };
 
@@ -85,6 +87,8 @@
 	double loss_probability = 0, duplicate_probability = 0;
 	uint64_t max_delay_ms = 5; /* random, beyond the least of 1 ms */
 	std::set<std::string> isolated; /* domains that cannot reach others */
+	/* From and to: hosts between which nothing passes in this direction. */
+	std::set<std::pair<uint64_t, uint64_t>> cut_links;
 	sim_store store;
 	std::vector<std::unique_ptr<sim_node>> nodes;
 	std::map<uint64_t, sim_node *> by_address;
@@ -185,6 +189,7 @@
 		sim_node *node = by_address[to];
 
 		if (!node || !reachable(from, *node) ||
+		    cut_links.count({ from.address, to }) ||
 		    chance(loss_probability))
 			return;
 		for (int copies = chance(duplicate_probability) ? 2 : 1; copies;
@@ -204,7 +209,7 @@
 
 			fescue__packet__pack(out->packet, (uint8_t *)&bytes[0]);
 			control_bytes += bytes.size() + SIM_IP_UDP_HEADER_BYTES;
-			if (fault != SIM_DROP_FETCHES ||
+			if (fault != SIM_NO_REPAIR ||
 			    out->packet->body_case !=
 				    FESCUE__PACKET__BODY_CONFIG_FETCH)
 				deliver(node, out->to, bytes);
@@ -341,8 +346,15 @@
 			node.peer_probe_at_ms = now_ms + 300;
 			membership_probe_random(node.membership, 1, &outbox);
 		}
-		if (!node.watching || !node.booted || unreachable ||
-		    now_ms < node.store_read_at_ms ||
+		if (!node.watching || !node.booted || unreachable)
+			return;
+		if (fault == SIM_NO_REPAIR &&
+		    !distribution_is_relay(node.distribution))
+			return;
+		if (now_ms >= node.confirm_at_ms &&
+		    store.revision <= node.read_revision)
+			confirm_version(node, outbox);
+		if (now_ms < node.store_read_at_ms ||
 		    store.revision <= node.read_revision)
 			return;
 		node.store_read_at_ms = now_ms + random_int(0, 20);
@@ -355,6 +367,13 @@
 			node.distribution, store.revision,
 			store.undecodable ? nullptr : text.data(), text.size(),
 			"no header", now_ms, &outbox);
+		confirm_version(node, outbox);
+	}
+	void confirm_version(sim_node &node, struct outbox &outbox)
+	{
+		node.confirm_at_ms = now_ms + SIM_WATCH_INTERVAL_MS;
+		distribution_confirm(node.distribution, now_ms, store.revision,
+				     now_ms, &outbox);
 	}
 
 	void receive_packet(sim_node &node, const sim_packet &incoming,
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -1,4 +1,5 @@
 #include "fleet_sim.h"
+#include "lone_distribution.h"
 
 namespace
 {
@@ -47,65 +48,6 @@
 	EXPECT_EQ(count_with_version(sim, version), 9u);
 }
 
-/* A distribution alone, and the actions that it asks for. */
-struct lone_distribution {
-	struct outbox outbox = {};
-	struct membership *membership;
-	struct distribution *d;
-	std::vector<uint64_t> applied, rejected;
-
-	lone_distribution()
-	{
-		struct host self = {};
-
-		self.address = 1;
-		g_queue_init(&outbox.queue);
-		membership =
-			membership_create(&membership_defaults, &self, 1, 0);
-		d = distribution_create(&distribution_defaults, membership);
-	}
-	~lone_distribution()
-	{
-		outbox_clear(&outbox);
-		distribution_destroy(d);
-		membership_destroy(membership);
-	}
-	void take_actions()
-	{
-		struct distribution_action action;
-
-		while (distribution_next_action(d, &action)) {
-			if (action.type == DISTRIBUTION_APPLY) {
-				applied.push_back(action.version);
-				rules_destroy(action.u.apply.rules);
-			} else if (action.type == DISTRIBUTION_REJECT) {
-				rejected.push_back(action.version);
-			}
-		}
-	}
-	/* A value in the store; NULL: one that cannot be decoded. */
-	void read(uint64_t version, const char *text)
-	{
-		distribution_receive_store_value(d, version, text,
-						 text ? strlen(text) : 0,
-						 "no resources", 1000, &outbox);
-		take_actions();
-	}
-	void push(uint64_t version, const char *text)
-	{
-		Fescue__Packet *packet =
-			packet_create(FESCUE__PACKET__BODY_CONFIG_PUSH);
-
-		packet->config_push->version = version;
-		packet->config_push->hash = config_hash(text, strlen(text));
-		packet_set_bytes(&packet->config_push->body, text,
-				 strlen(text));
-		distribution_receive(d, 2, packet, 1000, &outbox);
-		packet_destroy(packet);
-		take_actions();
-	}
-};
-
 /* Guards against a refused value whose number keeps all later versions out. */
 TEST(distribution, versions_below_a_refused_one_are_applied)
 {
@@ -557,8 +499,7 @@
 	EXPECT_GE(first_seed_with_violation(SIM_NO_FLOOR,
 					    "serves an older version"),
 		  0);
-	EXPECT_GE(first_seed_with_violation(SIM_DROP_FETCHES, "did not reach"),
-		  0);
+	EXPECT_GE(first_seed_with_violation(SIM_NO_REPAIR, "did not reach"), 0);
 	EXPECT_GE(first_seed_with_violation(SIM_UNACCEPTED_TEXT,
 					    "never accepted"),
 		  0);
--- /dev/null
+++ b/test/test_freshness.cc
@@ -0,0 +1,134 @@
+/*
+ * Tests of the reports by which hosts know that their version is the newest,
+ * and of hosts that read the store because they miss these reports.
+ */
+#include "fleet_sim.h"
+
+namespace
+{
+
+void start_all(fleet_sim &sim)
+{
+	for (auto &node : sim.nodes)
+		sim.start(*node);
+	sim.run_for(6000);
+}
+
+/* Returns how many running hosts do not have the version. */
+size_t count_late(fleet_sim &sim, uint64_t version)
+{
+	size_t late = 0;
+
+	for (auto &node : sim.nodes)
+		late += node->frozen_until_ms <= sim.now_ms &&
+			node->version != version;
+	return late;
+}
+
+/*
+ * Guards against domains whose relays all stand still when a change comes. Each
+ * change must be active on the other hosts within two seconds.
+ */
+TEST(freshness, hosts_read_the_store_when_no_relay_reports)
+{
+	for (int seed = 0; seed < 50; seed++) {
+		fleet_sim sim(2100 + seed, 15, 3);
+
+		sim.settings.fetch_delay_ms = 1000;
+		start_all(sim);
+		for (auto &node : sim.nodes)
+			if (distribution_is_relay(node->distribution))
+				sim.freeze(*node, 60000);
+		for (int change = 0; change < 3; change++) {
+			sim.run_for((uint64_t)sim.random_int(0, 1500));
+			uint64_t version = sim.accept_version();
+			sim.run_for(2000);
+			EXPECT_EQ(count_late(sim, version), 0u)
+				<< "seed " << seed << " change " << change;
+		}
+	}
+}
+
+/*
+ * Guards against hosts that reach the store, but that others do not reach, or
+ * that do not reach others.
+ */
+TEST(freshness, hosts_read_the_store_when_links_are_cut_one_way)
+{
+	for (int seed = 0; seed < 50; seed++) {
+		fleet_sim sim(2200 + seed, 15, 3);
+		uint64_t host = sim.nodes[(size_t)seed % 15]->address;
+
+		sim.settings.fetch_delay_ms = 1000;
+		sim.settings.require_peer_copy = 0;
+		start_all(sim);
+		for (auto &node : sim.nodes)
+			sim.cut_links.insert(
+				seed % 2 ? std::make_pair(node->address, host) :
+					   std::make_pair(host, node->address));
+		for (int change = 0; change < 3; change++) {
+			sim.run_for((uint64_t)sim.random_int(0, 1500));
+			uint64_t version = sim.accept_version();
+			sim.run_for(2000);
+			EXPECT_EQ(count_late(sim, version), 0u)
+				<< "seed " << seed << " change " << change;
+		}
+	}
+}
+
+/* Guards against hosts that the relays of their domain do not know yet. */
+TEST(freshness, hosts_that_no_relay_knows_get_versions_in_time)
+{
+	for (int seed = 0; seed < 50; seed++) {
+		fleet_sim sim(2000 + seed, 30, 1);
+
+		sim.settings.fetch_delay_ms = 60000;
+		start_all(sim);
+		uint64_t version = sim.accept_version();
+		sim.run_for(2000);
+		EXPECT_EQ(count_late(sim, version), 0u) << "seed " << seed;
+	}
+}
+
+Fescue__Packet *create_state(uint64_t version, uint32_t age_ms)
+{
+	Fescue__Packet *packet =
+		packet_create(FESCUE__PACKET__BODY_CONFIG_STATE);
+
+	packet->config_state->confirmed = 1;
+	packet->config_state->version = version;
+	packet->config_state->age_ms = age_ms;
+	return packet;
+}
+
+/* Guards against trust in what a relay knew before it was suspended. */
+TEST(freshness, old_reports_do_not_confirm_a_version)
+{
+	fleet_sim sim(2300, 9, 1);
+	sim_node *host = nullptr;
+	struct outbox outbox = {};
+
+	g_queue_init(&outbox.queue);
+	start_all(sim);
+	uint64_t version = sim.accept_version();
+	sim.run_for(1000);
+	for (auto &node : sim.nodes)
+		if (!distribution_is_candidate(node->distribution))
+			host = node.get();
+	for (uint32_t age_ms : { 0u, 4000u }) {
+		Fescue__Packet *packet = create_state(version, age_ms);
+		uint64_t from = sim.nodes[host == sim.nodes[0].get()]->address;
+
+		sim.run_for(50);
+		distribution_receive(host->distribution, from, packet,
+				     sim.now_ms + 900, &outbox);
+		EXPECT_EQ(distribution_unconfirmed_ms(host->distribution,
+						      sim.now_ms + 900) == 0,
+			  age_ms == 0);
+		packet_destroy(packet);
+		sim.run_for(1000);
+	}
+	outbox_clear(&outbox);
+}
+
+} // namespace
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -82,7 +82,7 @@
 	}
 	struct call_result watch()
 	{
-		store_watch(client, "op/config", 5, on_done, this);
+		store_watch(client, "op/config", 5, 900, on_done, this);
 		return wait();
 	}
 };
