bootstrap: a refused version is no floor

A refused value now leaves the floor to the peers or to the next valid value.

refused_version_is_no_floor failed before and passes.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -123,12 +123,13 @@
 
 /*
  * Handle a value read from the store. text is copied; it is NULL if the stored
- * value could not be decoded, and decode_error then says why.
+ * value could not be decoded, and decode_error then says why. Returns 0, or
+ * FESCUE_EINVAL if the version is refused.
  */
-void distribution_receive_store_value(struct distribution *distribution,
-				      uint64_t version, const char *text,
-				      size_t size, const char *decode_error,
-				      uint64_t now_ms, struct outbox *outbox);
+int distribution_receive_store_value(struct distribution *distribution,
+				     uint64_t version, const char *text,
+				     size_t size, const char *decode_error,
+				     uint64_t now_ms, struct outbox *outbox);
 
 /*
  * Set whether this node can reach the store. While it cannot, versions that
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -101,35 +101,61 @@
 	return interface_config_key(b->settings.interface);
 }
 
-/* Passes a stored value to the distribution. Returns its version, or 0. */
-static uint64_t process_config_value(struct bootstrap *b,
-				     const struct store_result *result)
+/*
+ * Passes a stored value to the distribution. Returns 0 and stores its version,
+ * or FESCUE_EINVAL if it is refused.
+ */
+static int process_config_value(struct bootstrap *b,
+				const struct store_result *result,
+				uint64_t *version)
 {
 	const struct bootstrap_settings *s = &b->settings;
 	struct config_value value;
-	uint64_t version;
+	int error = FESCUE_EINVAL;
 
 	interface_decode_config(s->interface, result->revision, result->value,
 				result->size, &value);
-	version = value.version;
-	if (!version) {
+	*version = value.version;
+	if (!value.version) {
 		log_error("the stored configuration is refused: %s",
 			  value.reason);
 	} else {
-		s->version_read(s->data, version);
-		distribution_receive_store_value(
-			s->distribution, version, value.text, value.size,
+		s->version_read(s->data, value.version);
+		error = distribution_receive_store_value(
+			s->distribution, value.version, value.text, value.size,
 			value.reason, bootstrap_now_ms(b), s->outbox);
 		s->changed(s->data);
 	}
 	config_value_clear(&value);
-	return version;
+	return error;
+}
+
+static void confirm_floor(struct bootstrap *b, uint64_t version)
+{
+	if (b->floor.confirmed)
+		return;
+	floor_confirm_by_store(&b->floor, version);
+	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
+		  version);
+}
+
+/*
+ * A refused value tells nothing of the newest valid version, so that peers or a
+ * later value have to confirm the floor.
+ */
+static void process_newest_value(struct bootstrap *b,
+				 const struct store_result *result)
+{
+	uint64_t version = 0;
+
+	if (result->error == FESCUE_ENOTFOUND ||
+	    !process_config_value(b, result, &version))
+		confirm_floor(b, version);
 }
 
 static void on_boot_config(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
-	uint64_t version = 0;
 
 	b->boot_call = NULL;
 	bootstrap_update_store_state(b, result->error);
@@ -137,14 +163,10 @@
 		schedule_boot_retry(b);
 		return;
 	}
-	if (!result->error)
-		version = process_config_value(b, result);
+	process_newest_value(b, result);
 	b->watch_after = result->store_revision;
 	confirm_version(b, b->boot_call_started_ms, result);
-	floor_confirm_by_store(&b->floor, version);
 	b->phase = BOOT_DONE;
-	log_state("floor confirmed by the store at version %" G_GUINT64_FORMAT,
-		  version);
 }
 
 static void on_list(void *data, const struct store_result *result)
@@ -244,8 +266,7 @@
 		watch_failed(b, result->error);
 		return;
 	}
-	if (!result->error)
-		process_config_value(b, result);
+	process_newest_value(b, result);
 	watch_succeeded(b, result, 0);
 }
 
@@ -256,7 +277,7 @@
 	b->watch_call = NULL;
 	switch (result->error) {
 	case FESCUE_OK:
-		process_config_value(b, result);
+		process_newest_value(b, result);
 		watch_succeeded(b, result, WATCH_PAUSE_MS);
 		break;
 	case FESCUE_ENOTFOUND: /* removed: the applied version stays */
@@ -316,7 +337,7 @@
 	bootstrap_update_store_state(b, result->error);
 	if (result->error)
 		return;
-	process_config_value(b, result);
+	process_newest_value(b, result);
 	confirm_version(b, b->watch_started_ms, result);
 }
 
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -176,15 +176,15 @@
 	}
 }
 
-void distribution_receive_store_value(struct distribution *d, uint64_t version,
-				      const char *text, size_t size,
-				      const char *decode_error, uint64_t now_ms,
-				      struct outbox *outbox)
+int distribution_receive_store_value(struct distribution *d, uint64_t version,
+				     const char *text, size_t size,
+				     const char *decode_error, uint64_t now_ms,
+				     struct outbox *outbox)
 {
 	struct diagnostic diagnostic = { 0 };
 
 	if (version <= newest_text(d)->version)
-		return;
+		return FESCUE_OK;
 	d->source = (struct version_source){ VERSION_FROM_STORE, 0 };
 	if (!text) {
 		g_strlcpy(diagnostic.what, decode_error,
@@ -195,17 +195,18 @@
 		reject(d, version,
 		       config_hash(decode_error, strlen(decode_error)),
 		       &diagnostic);
-		return;
+		return FESCUE_EINVAL;
 	}
 	if (is_rejected(d, version, config_hash(text, size)) ||
 	    validate_text(d, version, text, size))
-		return;
+		return FESCUE_EINVAL;
 	version_text_clear(&d->staged);
 	d->staged = version_text_copy(version, text, size);
 	d->behind_since_ms = 0;
 	if (!needs_peer_copy(d))
 		apply_staged(d);
 	schedule_push(d, now_ms, outbox);
+	return FESCUE_OK;
 }
 
 /*
--- a/test/test_bootstrap.cc
+++ b/test/test_bootstrap.cc
@@ -34,9 +34,11 @@
 	uv_timer_t tick_timer;
 	uint64_t change = 0;
 	uint64_t active = 0;
+	uint64_t rejected = 0, expected_rejection = 0;
 
 	/* The node reaches the store at address. */
-	explicit fixture(struct address address)
+	explicit fixture(struct address address,
+			 enum interface_type interface = INTERFACE_FESCUE)
 	{
 		struct bootstrap_settings settings = {};
 		struct host self = {};
@@ -59,7 +61,7 @@
 		settings.membership = membership;
 		settings.distribution = distribution;
 		settings.outbox = &outbox;
-		settings.interface = INTERFACE_FESCUE;
+		settings.interface = interface;
 		settings.failure_domain = "a";
 		settings.start_jitter_ms = 10;
 		settings.relays_per_domain = 2;
@@ -74,6 +76,7 @@
 	}
 	~fixture()
 	{
+		EXPECT_EQ(rejected, expected_rejection);
 		bootstrap_destroy(bootstrap);
 		store_client_destroy(client);
 		distribution_destroy(distribution);
@@ -118,7 +121,7 @@
 					action.type == DISTRIBUTION_WATCH);
 				break;
 			case DISTRIBUTION_REJECT:
-				ADD_FAILURE() << "a version was rejected";
+				rejected = action.version;
 				break;
 			}
 		}
@@ -145,6 +148,12 @@
 				  value, size);
 		g_free(value);
 	}
+	void put_document(const std::string &text)
+	{
+		store_standin_put(store,
+				  interface_config_key(INTERFACE_PLATFORM),
+				  text.data(), text.size());
+	}
 	/* Returns whether another version becomes active in time. */
 	bool becomes_active(uint64_t within_ms)
 	{
@@ -200,4 +209,19 @@
 	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
 }
 
+/* Guards against a refused version that a restarted node then waits for. */
+TEST(bootstrap, refused_version_is_no_floor)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+
+	f.expected_rejection = 9007199254740991;
+	f.put_document("{\"version\":9007199254740991,\"resources\":[{}]}");
+	f.run_for(1500);
+	EXPECT_EQ(f.rejected, 9007199254740991u);
+	f.put_document("{\"version\":5,\"resources\":[{\"type\":\"services\","
+		       "\"metadata\":{\"name\":\"shop\"},\"spec\":{}}]}");
+	ASSERT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
+	EXPECT_TRUE(floor_allows(bootstrap_floor(f.bootstrap), f.active));
+}
+
 } // namespace
