--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -120,6 +120,11 @@
 		log_error("the stored configuration is refused: %s",
 			  value.reason);
 	} else {
+		if (value.version < distribution_version(s->distribution))
+			log_event(LOG_STATE, "older_version_read",
+				  "\"version\":%" PRIu64 ",\"active\":%" PRIu64,
+				  value.version,
+				  distribution_version(s->distribution));
 		s->version_read(s->data, value.version);
 		error = distribution_receive_store_value(
 			s->distribution, value.version, value.text, value.size,
