--- a/test/test_fleet.cc
+++ b/test/test_fleet.cc
@@ -196,4 +196,16 @@
 	play_seeds({ 9, 3, TROUBLE_INVALID | TROUBLE_MANY_ROUTES, 0, 10 }, 600);
 }
 
+/* All of it at once, on processes that start again beside changes. */
+TEST(fleet, versions_pass_in_mixed_trouble)
+{
+	play_seeds({ 24, 3,
+		     TROUBLE_FREEZE | TROUBLE_KILL | TROUBLE_STOP |
+			     TROUBLE_PATH_SILENT | TROUBLE_PATH_RESET |
+			     TROUBLE_PATH_STALE | TROUBLE_STORE |
+			     TROUBLE_INVALID | TROUBLE_MANY_ROUTES,
+		     0.4, 10 },
+		   800);
+}
+
 } // namespace
