distribution: other hosts forward the reports of relays in large domains

Beyond 32 hosts a report goes down a tree of the width of the push tree, a different one for each sender, so that one host that stands still keeps few from both relays' reports; those read the store.

A host that was suspended adds that time to the age of what it forwards.

test_freshness plays a domain of 120 hosts, calm and with half of them frozen.

--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -1851,7 +1851,7 @@
   (ProtobufCMessageInit) fescue__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__config_state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor fescue__config_state__field_descriptors[7] =
 {
   {
     "confirmed",
@@ -1925,6 +1925,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "subtree",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Fescue__ConfigState, n_subtree),
+    offsetof(Fescue__ConfigState, subtree),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__config_state__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -1932,12 +1944,13 @@
   2,   /* field[2] = hash */
   5,   /* field[5] = rank */
   4,   /* field[4] = store_revision */
+  6,   /* field[6] = subtree */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange fescue__config_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor fescue__config_state__descriptor =
 {
@@ -1947,7 +1960,7 @@
   "Fescue__ConfigState",
   "fescue",
   sizeof(Fescue__ConfigState),
-  6,
+  7,
   fescue__config_state__field_descriptors,
   fescue__config_state__field_indices_by_name,
   1,  fescue__config_state__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -289,13 +289,18 @@
    */
   uint64_t store_revision;
   /*
-   * of the sender among the relays of its domain
+   * of its first sender among the relays of the domain
    */
   uint32_t rank;
+  /*
+   * hosts to which the receiver forwards it
+   */
+  size_t n_subtree;
+  uint64_t *subtree;
 };
 #define FESCUE__CONFIG_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__config_state__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -482,6 +482,8 @@
 void distribution_tick(struct distribution *d, uint64_t now_ms,
 		       struct outbox *outbox)
 {
+	d->previous_tick_ms = d->tick_ms;
+	d->tick_ms = now_ms;
 	update_relay_role(d, now_ms);
 	freshness_report(d, now_ms, outbox);
 	push_handle_timeouts(d, now_ms, outbox);
--- a/src/distribution_freshness.c
+++ b/src/distribution_freshness.c
@@ -11,6 +11,8 @@
 
 #include "failure_domain.h"
 
+/* Limits what a relay sends. */
+#define DIRECT_HOSTS_MAX 32
 /* Beyond the time between two answers to a relay. */
 #define FRESH_MS 1200
 /* Lets the candidates read first, and their news arrive. */
@@ -23,32 +25,68 @@
  */
 #define SEEKERS_MAX 3
 
-static void send_state(struct distribution *d, int confirmed, uint64_t now_ms,
-		       struct outbox *outbox)
+/*
+ * Send a copy of the report to hosts. Many hosts are split into fan_out groups,
+ * the first host of which forwards it to the others.
+ */
+static void send_report(const struct distribution *d,
+			const Fescue__ConfigState *report,
+			const uint64_t *hosts, size_t n, struct outbox *outbox)
 {
-	const struct version_text *text = newest_text(d);
-	GArray *hosts = failure_domain_hosts(d->membership, "state", 0);
+	size_t groups =
+		n <= DIRECT_HOSTS_MAX ? n : MIN(n, (size_t)d->settings.fan_out);
+	size_t start = 0;
 
-	for (guint i = 0; i < hosts->len; i++) {
+	for (size_t i = 0; i < groups; i++) {
+		size_t len = (n - start) / (groups - i);
 		Fescue__Packet *packet =
 			packet_create(FESCUE__PACKET__BODY_CONFIG_STATE);
-		Fescue__ConfigState *state = packet->config_state;
-
-		state->confirmed = confirmed;
-		state->rank = (uint32_t)d->candidate_rank;
-		if (confirmed) {
-			state->version = text->version;
-			state->hash = text->hash;
-			state->age_ms =
-				(uint32_t)(now_ms - d->freshness.own_ms);
-			state->store_revision = d->freshness.store_revision;
-		}
-		outbox_send(outbox, g_array_index(hosts, uint64_t, i),
-			    PACKET_CONFIG, packet);
+		Fescue__ConfigState *copy = packet->config_state;
+
+		*copy = *report;
+		copy->n_subtree = len - 1;
+		copy->subtree = g_memdup2(hosts + start + 1,
+					  (len - 1) * sizeof(*hosts));
+		outbox_send(outbox, hosts[start], PACKET_CONFIG, packet);
+		start += len;
+	}
+}
+
+static void send_state(struct distribution *d, int confirmed, uint64_t now_ms,
+		       struct outbox *outbox)
+{
+	const struct version_text *text = newest_text(d);
+	/* Each host has a tree of its own, so that few miss all reports. */
+	GArray *hosts =
+		failure_domain_hosts(d->membership, "state",
+				     membership_self(d->membership)->address);
+	Fescue__ConfigState report;
+
+	fescue__config_state__init(&report);
+	report.confirmed = confirmed;
+	report.rank = (uint32_t)d->candidate_rank;
+	if (confirmed) {
+		report.version = text->version;
+		report.hash = text->hash;
+		report.age_ms = (uint32_t)(now_ms - d->freshness.own_ms);
+		report.store_revision = d->freshness.store_revision;
 	}
+	send_report(d, &report, (const uint64_t *)hosts->data, hosts->len,
+		    outbox);
 	g_array_free(hosts, TRUE);
 }
 
+/* The report may have waited since the tick before the last one. */
+static void forward_report(const struct distribution *d,
+			   const Fescue__ConfigState *state, uint64_t now_ms,
+			   struct outbox *outbox)
+{
+	Fescue__ConfigState report = *state;
+
+	report.age_ms += (uint32_t)(now_ms - MIN(now_ms, d->previous_tick_ms));
+	send_report(d, &report, state->subtree, state->n_subtree, outbox);
+}
+
 static int reports_state(const struct distribution *d)
 {
 	return d->settings.mode == DISTRIBUTION_RELAY && d->is_candidate;
@@ -102,6 +140,7 @@
 
 	if (!is_own_domain(d, from))
 		return;
+	forward_report(d, state, now_ms, outbox);
 	if (state->rank < CANDIDATES_MAX)
 		f->seeker_ms[state->rank] = state->confirmed ? 0 : now_ms;
 	if (!state->confirmed)
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -54,6 +54,7 @@
 	int is_relay; /* by rank */
 	int watching; /* this host is to watch the store */
 	struct freshness freshness;
+	uint64_t tick_ms, previous_tick_ms; /* times of the last two ticks */
 	struct version_history history; /* the first text is the active one */
 	struct version_text staged; /* validated, not yet applied */
 	struct version_source source; /* of the text validated last */
--- a/test/test_freshness.cc
+++ b/test/test_freshness.cc
@@ -131,4 +131,43 @@
 	outbox_clear(&outbox);
 }
 
+/* In large domains other hosts forward the reports of relays. */
+TEST(freshness, reports_of_relays_reach_large_domains)
+{
+	fleet_sim sim(2400, 120, 1);
+	size_t others = 0;
+
+	start_all(sim);
+	sim.run_for(30000); /* until the hosts know each other */
+	for (int i = 0; i < 200; i++) {
+		if (i % 40 == 0)
+			sim.accept_version();
+		sim.tick();
+		for (auto &node : sim.nodes)
+			others += node->watching &&
+				  !distribution_is_relay(node->distribution);
+	}
+	EXPECT_EQ(others, 0u);
+	EXPECT_EQ(count_late(sim, sim.newest_accepted()), 0u);
+}
+
+TEST(freshness, versions_pass_by_frozen_hosts_in_large_domains)
+{
+	for (int seed = 0; seed < 20; seed++) {
+		fleet_sim sim(2500 + seed, 120, 1);
+
+		sim.settings.fetch_delay_ms = 60000;
+		sim.settings.require_peer_copy = 0;
+		start_all(sim);
+		sim.run_for(30000);
+		for (auto &node : sim.nodes)
+			if (sim.chance(0.5))
+				sim.freeze(*node, 60000);
+		sim.run_for((uint64_t)sim.random_int(0, 1500));
+		uint64_t version = sim.accept_version();
+		sim.run_for(2000);
+		EXPECT_EQ(count_late(sim, version), 0u) << "seed " << seed;
+	}
+}
+
 } // namespace
