backend server: a query does not admit requests that are canceled

Requests are admitted at the end of a loop iteration, since after a stall a request and its cancel are read together. A query had all requests read so far admitted at once, so one whose cancel came behind could run after its caller had left. The query now looks the request up among those that wait.

--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -160,20 +160,23 @@
 	g_queue_clear_full(&b->received, received_request_free);
 }
 
-/* Drops a request that waits for admission; returns 1 if there was one. */
-static int drop_received(struct backend_server *b, uint64_t from,
-			 uint64_t call_id)
+/* Returns the entry of a request that waits for admission, or NULL. */
+static GList *find_received(struct backend_server *b, uint64_t from,
+			    uint64_t call_id)
 {
 	for (GList *l = b->received.head; l; l = l->next) {
-		struct received_request *r = l->data;
+		const struct received_request *r = l->data;
 
-		if (r->from != from || r->request->call_id != call_id)
-			continue;
-		received_request_free(r);
-		g_queue_delete_link(&b->received, l);
-		return 1;
+		if (r->from == from && r->request->call_id == call_id)
+			return l;
 	}
-	return 0;
+	return NULL;
+}
+
+static void remove_received(struct backend_server *b, GList *entry)
+{
+	received_request_free(entry->data);
+	g_queue_delete_link(&b->received, entry);
 }
 
 static void cancel_admitted(struct backend_server *b, uint64_t from,
@@ -191,9 +194,12 @@
 void backend_server_cancel(struct backend_server *b, uint64_t from,
 			   uint64_t call_id)
 {
-	if (drop_received(b, from, call_id))
-		return;
-	cancel_admitted(b, from, call_id);
+	GList *received = find_received(b, from, call_id);
+
+	if (received)
+		remove_received(b, received);
+	else
+		cancel_admitted(b, from, call_id);
 }
 
 /*
@@ -228,12 +234,9 @@
 	void *answer;
 	size_t size;
 
-	if (!c && !g_queue_is_empty(&b->received)) {
-		on_iteration_end(&b->iteration_end);
-		c = find_inbound_call(b, from, call_id);
-	}
-	if (c) {
+	if (c)
 		c->orphaned_at_ms = 0;
+	if (c || find_received(b, from, call_id)) {
 		packet = packet_create(FESCUE__PACKET__BODY_CALL_RUNNING);
 		packet->call_running->call_id = call_id;
 		node_context_send(b->context, from, packet);
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -133,6 +133,23 @@
 	EXPECT_EQ(f.runs(), 1u);
 }
 
+/*
+ * Guards against a query that has other requests of the iteration admitted
+ * before their cancels are read.
+ */
+TEST(backend_server, queries_do_not_admit_canceled_requests)
+{
+	fixture f(closed_port);
+
+	f.call(1);
+	f.call(2);
+	backend_server_query(f.backend, 7, 2, 99);
+	backend_server_cancel(f.backend, 7, 1);
+	EXPECT_EQ(f.runs(), 0u);
+	f.run_loop();
+	EXPECT_EQ(f.runs(), 1u); /* the request that was queried */
+}
+
 /* A query overtakes its request and is answered with "not run". */
 TEST(backend_server, request_that_arrives_after_its_query_never_runs)
 {
