node: refuse calls that wait when a stopping node ends

Callers of a stopping node whose calls waited for a slot somewhere got no answer: the node ended at nine tenths of its grace time and closed their connections. A request that may not be repeated was lost though it had not run.

A call of a stopping node that could not run and be answered before the end (twice its kind's service time and 250 ms) now gets no new attempt, and one that waits at a host is recalled: the host refuses it if it does not run, which is certain, and the caller gets 503. Running calls go on.

calls_that_wait_are_refused_before_a_stopping_node_ends failed before (no answer) and passes.

--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -2562,7 +2562,7 @@
   (ProtobufCMessageInit) fescue__call_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__call_cancel__field_descriptors[1] =
+static const ProtobufCFieldDescriptor fescue__call_cancel__field_descriptors[2] =
 {
   {
     "call_id",
@@ -2576,14 +2576,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recall",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__CallCancel, recall),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__call_cancel__field_indices_by_name[] = {
   0,   /* field[0] = call_id */
+  1,   /* field[1] = recall */
 };
 static const ProtobufCIntRange fescue__call_cancel__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor fescue__call_cancel__descriptor =
 {
@@ -2593,7 +2606,7 @@
   "Fescue__CallCancel",
   "fescue",
   sizeof(Fescue__CallCancel),
-  1,
+  2,
   fescue__call_cancel__field_descriptors,
   fescue__call_cancel__field_indices_by_name,
   1,  fescue__call_cancel__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -445,10 +445,14 @@
 {
   ProtobufCMessage base;
   uint64_t call_id;
+  /*
+   * only if it does not run, with an answer
+   */
+  protobuf_c_boolean recall;
 };
 #define FESCUE__CALL_CANCEL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__call_cancel__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -280,22 +280,42 @@
 	return tickets;
 }
 
+static void refuse_queued(struct backend_server *b, uint64_t ticket,
+			  const char *reason)
+{
+	struct inbound_call *c = g_hash_table_lookup(b->inbound_calls, &ticket);
+
+	if (!c || c->state != INBOUND_CALL_QUEUED)
+		return;
+	admission_cancel(b->admission, ticket);
+	backend_refuse(b, c->from, c->request, c->arrived_us, reason);
+	g_hash_table_remove(b->inbound_calls, &ticket);
+}
+
 void backend_refuse_queued(struct backend_server *b, const char *reason)
 {
 	GArray *tickets = copy_tickets(b);
 
-	for (guint i = 0; i < tickets->len; i++) {
-		uint64_t ticket = g_array_index(tickets, uint64_t, i);
-		struct inbound_call *c =
-			g_hash_table_lookup(b->inbound_calls, &ticket);
+	for (guint i = 0; i < tickets->len; i++)
+		refuse_queued(b, g_array_index(tickets, uint64_t, i), reason);
+	g_array_free(tickets, TRUE);
+}
 
-		if (!c || c->state != INBOUND_CALL_QUEUED)
-			continue;
-		admission_cancel(b->admission, ticket);
-		backend_refuse(b, c->from, c->request, c->arrived_us, reason);
-		g_hash_table_remove(b->inbound_calls, &ticket);
+void backend_server_recall(struct backend_server *b, uint64_t from,
+			   uint64_t call_id)
+{
+	struct inbound_call *c = find_inbound_call(b, from, call_id);
+	GList *entry = find_received(b, from, call_id);
+
+	if (c)
+		refuse_queued(b, c->ticket, "its node stops");
+	if (entry) {
+		const struct received_request *r = entry->data;
+
+		backend_refuse(b, from, r->request, r->arrived_us,
+			       "its node stops");
+		remove_received(b, entry);
 	}
-	g_array_free(tickets, TRUE);
 }
 
 void backend_expire_orphans(struct backend_server *b)
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -90,6 +90,13 @@
 void backend_server_cancel(struct backend_server *backend, uint64_t from,
 			   uint64_t call_id);
 
+/*
+ * Refuses a call that has not started to run, because its node cannot wait for
+ * it any longer. A running call goes on.
+ */
+void backend_server_recall(struct backend_server *backend, uint64_t from,
+			   uint64_t call_id);
+
 /*
  * Answers a node that queries the state of its call after it lost the link:
  * that the call is queued or running, its stored answer, or else whether it may
--- a/src/caller.c
+++ b/src/caller.c
@@ -169,6 +169,7 @@
 	c->attempt_host_epoch = t->settings.host_epoch(t->settings.data, host);
 	c->attempt_sent_boot_ms = boot_clock_ms();
 	c->state = ATTEMPT_SENT;
+	c->recalled = 0;
 	g_hash_table_insert(t->attempts, &c->attempt_id, c);
 	router_started(t->router, host, caller_now_ms(t));
 	caller_count(t, COUNTER_attempts);
@@ -219,6 +220,11 @@
 	uint64_t host;
 	int logged;
 
+	if (call_is_too_late(c)) {
+		finish_failed(c, c->outcome, failure_status(c->outcome),
+			      "the node stops before the call could run");
+		return;
+	}
 	if (fill_request(c, &request) ||
 	    router_choose(router, &request, &host, &busy_ms)) {
 		update_retry_after(c, busy_ms);
@@ -270,12 +276,14 @@
 			      reason);
 }
 
-static void send_cancel(struct caller_table *t, uint64_t host, uint64_t id)
+void call_send_cancel(struct caller_table *t, uint64_t host, uint64_t id,
+		      int recall)
 {
 	Fescue__Packet *packet =
 		packet_create(FESCUE__PACKET__BODY_CALL_CANCEL);
 
 	packet->call_cancel->call_id = id;
+	packet->call_cancel->recall = recall;
 	node_context_send(t->context, host, packet);
 }
 
@@ -285,7 +293,7 @@
 	uint64_t id = c->attempt_id;
 
 	if (id)
-		send_cancel(c->table, call_last_host(c), id);
+		call_send_cancel(c->table, call_last_host(c), id, 0);
 	/* A cancel that this node handles itself may have ended the call. */
 	if (!c->exchange)
 		return;
@@ -306,7 +314,7 @@
 	call_end_attempt(c, ROUTER_CANCELED, NULL);
 	call_end(c);
 	if (id)
-		send_cancel(t, host, id);
+		call_send_cancel(t, host, id, 0);
 }
 
 /* Other 5xx statuses report failures of services that the server calls. */
--- a/src/caller.h
+++ b/src/caller.h
@@ -75,6 +75,13 @@
 void caller_table_peer_disconnected(struct caller_table *callers, uint64_t peer,
 				    int connected);
 
+/*
+ * The node ends at end_ms, or when no call is left: refuse calls that can no
+ * longer run before then. Those that wait at a host are recalled; running ones
+ * go on. Call regularly while the node stops.
+ */
+void caller_table_end_waits(struct caller_table *callers, uint64_t end_ms);
+
 /* Set the number of nodes that share the settings' retry_burst. */
 void caller_table_set_nodes(struct caller_table *callers, size_t nodes);
 
--- a/src/caller_recovery.c
+++ b/src/caller_recovery.c
@@ -1,10 +1,15 @@
-/* Attempts whose link to their host was lost. */
+/*
+ * Attempts whose link to their host was lost, and those that a stopping node can
+ * no longer wait for.
+ */
 #include "caller_state.h"
 #include "call_log.h"
 #include "events.h"
 #include "fescue/answer_cache.h"
 
 #define QUERY_TIMEOUT_MS 1500
+/* Beyond twice the service time, for the way to the host and back. */
+#define LAST_START_MARGIN_MS 250
 /*
  * A host takes a call of which it has no record for one that never arrived, so
  * it is queried only well before its record of the call expires.
@@ -104,3 +109,33 @@
 	}
 	g_array_free(ids, TRUE);
 }
+
+int call_is_too_late(const struct call *c)
+{
+	const struct caller_table *t = c->table;
+	uint64_t needed_ms =
+		LAST_START_MARGIN_MS +
+		(uint64_t)(2 * call_stats_expected_service_ms(
+				       t->stats,
+				       snapshot_route(c->snapshot, c->route)));
+
+	return t->end_ms && caller_now_ms(t) + needed_ms > t->end_ms;
+}
+
+void caller_table_end_waits(struct caller_table *t, uint64_t end_ms)
+{
+	GArray *ids = collect_attempt_ids(t, 0);
+
+	t->end_ms = end_ms;
+	for (guint i = 0; i < ids->len; i++) {
+		uint64_t id = g_array_index(ids, uint64_t, i);
+		struct call *c = g_hash_table_lookup(t->attempts, &id);
+
+		if (!c || c->recalled || c->state != ATTEMPT_SENT ||
+		    !call_is_too_late(c))
+			continue;
+		c->recalled = 1;
+		call_send_cancel(t, call_last_host(c), id, 1);
+	}
+	g_array_free(ids, TRUE);
+}
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -53,6 +53,7 @@
 	uint64_t attempt_host_epoch; /* when the attempt was sent */
 	uint64_t attempt_sent_boot_ms; /* by boot_clock_ms() */
 	uint64_t queried_ms;
+	int recalled; /* the host was asked to refuse the attempt if it waits */
 	enum call_outcome outcome; /* merged over the attempts that ended */
 	uint32_t retry_after_ms; /* shortest that a host suggested; 0: none */
 	/* Server error to return unless a retry gets an answer, or NULL. */
@@ -71,6 +72,7 @@
 	uint64_t last_attempt_id;
 	GHashTable *attempts; /* attempt_id -> struct call, pending ones */
 	size_t in_flight;
+	uint64_t end_ms; /* when the node ends; 0: it does not stop */
 };
 
 static inline uint64_t caller_now_ms(const struct caller_table *t)
@@ -116,6 +118,13 @@
 void call_attempt_failed(struct call *call, const struct retry_attempt *failed,
 			 const char *reason);
 
+/* Cancel an attempt, or recall it: only if it does not run yet. */
+void call_send_cancel(struct caller_table *callers, uint64_t host,
+		      uint64_t attempt_id, int recall);
+
+/* Whether the node ends before the call could run from now on. */
+int call_is_too_late(const struct call *call);
+
 /* End attempts whose host has not replied to a query in time. */
 void caller_expire_queries(struct caller_table *callers);
 
--- a/src/node.c
+++ b/src/node.c
@@ -154,8 +154,12 @@
 					   packet->call_answer);
 		break;
 	case FESCUE__PACKET__BODY_CALL_CANCEL:
-		backend_server_cancel(node->backend, from,
-				      packet->call_cancel->call_id);
+		if (packet->call_cancel->recall)
+			backend_server_recall(node->backend, from,
+					      packet->call_cancel->call_id);
+		else
+			backend_server_cancel(node->backend, from,
+					      packet->call_cancel->call_id);
 		break;
 	case FESCUE__PACKET__BODY_CALL_QUERY:
 		backend_server_query(node->backend, from,
--- a/src/node_stop.c
+++ b/src/node_stop.c
@@ -3,7 +3,8 @@
  * its backend server still gets calls. It then leaves the membership, drains
  * the backend server and waits until no calls are in flight. Counted from the
  * start of the stop, the wait ends after stop_min_ms at the earliest and, if
- * calls remain, when both stop_min_ms and drain_ms have passed. The node then
+ * calls remain, when both stop_min_ms and drain_ms have passed; calls that would
+ * still run by then are refused before they start. The node then
  * closes the caller port and stops the loop LAST_CONNECTIONS_MS later.
  */
 #include "node.h"
@@ -68,6 +69,10 @@
 
 void node_advance_stop(struct node *node)
 {
+	caller_table_end_waits(node->callers,
+			       node->stop_started_ms +
+				       MAX(node->settings.stop_min_ms,
+					   node->settings.drain_ms));
 	if (!node->membership_left &&
 	    node_now_ms(node) >=
 		    node->stop_started_ms + node->settings.stop_serve_ms)
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -150,6 +150,35 @@
 	EXPECT_EQ(f.runs(), 1u); /* the request that was queried */
 }
 
+/* The same for a recall. */
+TEST(backend_server, recalls_do_not_admit_canceled_requests)
+{
+	fixture f(closed_port);
+
+	f.call(1);
+	f.call(2);
+	backend_server_recall(f.backend, 7, 2);
+	backend_server_cancel(f.backend, 7, 1);
+	f.run_loop();
+	EXPECT_EQ(f.runs(), 0u);
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+}
+
+/* A recalled request is answered, and only if it does not run. */
+TEST(backend_server, recall_refuses_calls_that_do_not_run)
+{
+	fixture f(closed_port);
+
+	f.call(1);
+	f.call(2);
+	uv_run(f.loop, UV_RUN_NOWAIT);
+	ASSERT_EQ(f.runs(), 1u);
+	for (uint64_t id : { 1, 2, 3 })
+		backend_server_recall(f.backend, 7, id);
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+	EXPECT_EQ(f.sent.back()->call_answer->call_id, 2u);
+}
+
 /* A query overtakes its request and is answered with "not run". */
 TEST(backend_server, request_that_arrives_after_its_query_never_runs)
 {
--- a/test/test_node.cc
+++ b/test/test_node.cc
@@ -2,11 +2,12 @@
  * Tests of a whole node with the platform's interface, against the stand-in of
  * the store, in real time.
  */
-#include "support.h"
+#include "scripted_peer.h"
 
 #include <csignal>
 
 extern "C" {
+#include "backend_server.h"
 #include "fescue/error.h"
 #include "http_client.h"
 #include "node.h"
@@ -27,6 +28,13 @@
 	return (uint16_t)(next_port - count);
 }
 
+const char stop_config[] =
+	"{\"version\":7,\"resources\":[{\"type\":\"services\",\"metadata\":"
+	"{\"name\":\"shop\"},\"spec\":{}},{\"type\":\"routes\",\"metadata\":"
+	"{\"name\":\"r\"},\"spec\":{\"host\":\"h.example\",\"prefix\":\"/p/\","
+	"\"kind\":\"safe\",\"timeoutMs\":20000,\"targetLatencyMs\":10000,"
+	"\"maxAttempts\":2,\"service\":\"shop\"}}]}";
+
 uint64_t real_ms()
 {
 	return uv_hrtime() / 1000000;
@@ -377,4 +385,91 @@
 	EXPECT_EQ(distribution_version(f.node->node->distribution), 7u);
 }
 
+/* A request to the caller port of the fixture's node. */
+struct caller_request_result {
+	struct http_pool *pool;
+	struct http_call *call;
+	int status = 0; /* 0: no answer yet; -1: the connection was closed */
+
+	explicit caller_request_result(fixture &f)
+	{
+		struct http_header headers[] = {
+			{ "fescuehitch-request-id", "r-1" },
+			{ "fescuehitch-deadline-ms", "20000" }
+		};
+		struct http_request request = {};
+
+		pool = http_pool_create(f.loop, f.node->node->settings.callers,
+					1);
+		request.method = "GET";
+		request.path = "/p/x";
+		request.host = "h.example";
+		request.headers = headers;
+		request.header_count = 2;
+		request.timeout_ms = 20000;
+		call = http_pool_send(pool, &request, on_done, this);
+		f.run_for(300);
+	}
+	~caller_request_result()
+	{
+		if (!status)
+			http_call_cancel(call);
+		http_pool_release(pool);
+	}
+	static void on_done(void *data, const struct http_result *result)
+	{
+		((caller_request_result *)data)->status =
+			result->error ? -1 : result->status;
+	}
+};
+
+/*
+ * Guards against a stopping node that ends while a call waits for a slot, and
+ * closes the connection of a request that has not run without an answer.
+ */
+TEST(node, calls_that_wait_are_refused_before_a_stopping_node_ends)
+{
+	scripted_peer backend({ { "", step::HANG } });
+	fixture f;
+
+	store_standin_put(f.store, "op/config", stop_config,
+			  strlen(stop_config));
+	f.peer = create_node(take_ports(1));
+	f.start_node();
+	f.run_for(2500);
+	std::swap(f.node, f.peer);
+	ASSERT_GE(f.send("PUT", "i-2",
+			 "{\"address\":\"127.0.0.1:" +
+				 std::to_string(backend.address.port) +
+				 "\",\"born\":1000,\"info\":{\"service\":"
+				 "\"shop\",\"slots\":1},\"status\":{\"state\":"
+				 "\"ready\",\"sequence\":1}}"),
+		  0);
+	std::swap(f.node, f.peer);
+	f.run_for(300);
+	{
+		caller_request_result running(f), waiting(f);
+		struct node *node = f.node->node;
+
+		EXPECT_EQ(backend_server_in_use(f.peer->node->backend), 1u);
+		EXPECT_EQ(backend_server_queued(f.peer->node->backend), 1u);
+		node->settings.stop_serve_ms = 100;
+		node->settings.stop_min_ms = 300;
+		node->settings.drain_ms = 1500;
+		node_begin_stop(node);
+		f.run_for(1000);
+		EXPECT_EQ(waiting.status, 0);
+		for (int i = 0; i < 100 && !node->listener_closed_ms; i++)
+			f.run_for(20);
+		EXPECT_NE(node->listener_closed_ms, 0u);
+		EXPECT_EQ(waiting.status, 503);
+		EXPECT_EQ(running.status, 0);
+	}
+	f.run_for(300);
+	EXPECT_EQ(backend.requests.size(), 1u);
+	f.kill_node();
+	f.peer->end();
+	f.peer = nullptr;
+}
+
 } // namespace
