distribution: one call for a read in place of a relay, none at the start

Each host that missed reports made two calls to the store, since it stopped to watch only at the next tick, when the next watch had already been sent. And all hosts of a domain read once more 1.2 s after they had started, before the relays knew them.

An answer now ends the read at once, and a host that starts, which reads the key then, misses no report for another 1.2 s.

answer_ends_a_read_at_once fails without the first (5 answers) and passes.

--- a/src/distribution.c
+++ b/src/distribution.c
@@ -432,8 +432,7 @@
 		       membership_self(d->membership)->store_lost);
 }
 
-/* Start or stop watching the store. */
-static void update_relay_role(struct distribution *d, uint64_t now_ms)
+void update_relay_role(struct distribution *d, uint64_t now_ms)
 {
 	int missed = freshness_is_missed(d, now_ms);
 	int watch;
--- a/src/distribution_freshness.c
+++ b/src/distribution_freshness.c
@@ -17,6 +17,8 @@
 #define FRESH_MS 1200
 /* Lets the candidates read first, and their news arrive. */
 #define OTHERS_DELAY_MS 150
+/* In which a host that starts reads the store, and relays learn of it. */
+#define START_GRACE_MS 1200
 #define REPORT_INTERVAL_MS 500
 #define SEEKER_TTL_MS (2 * REPORT_INTERVAL_MS + 200)
 /*
@@ -103,6 +105,8 @@
 	f->store_revision = MAX(f->store_revision, store_revision);
 	if (reports_state(d))
 		send_state(d, 1, now_ms, outbox);
+	/* Without a delay, in which another call could start. */
+	update_relay_role(d, now_ms);
 }
 
 static void accept_confirmation(struct distribution *d,
@@ -170,10 +174,8 @@
 {
 	struct freshness *f = &d->freshness;
 
-	if (!f->known_ms)
-		f->known_ms = now_ms;
 	if (!f->better_ms)
-		f->better_ms = now_ms;
+		f->known_ms = f->better_ms = now_ms + START_GRACE_MS;
 	if (d->settings.mode != DISTRIBUTION_RELAY)
 		return 0;
 	accept_ahead(d);
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -149,6 +149,9 @@
  */
 int freshness_is_missed(struct distribution *d, uint64_t now_ms);
 
+/* Start or stop watching the store. */
+void update_relay_role(struct distribution *d, uint64_t now_ms);
+
 /* Report to the domain, if it is due, that the store does not answer here. */
 void freshness_report(struct distribution *d, uint64_t now_ms,
 		      struct outbox *outbox);
--- a/test/lone_distribution.h
+++ b/test/lone_distribution.h
@@ -10,6 +10,7 @@
 #include "fescue/distribution.h"
 #include "fescue/membership.h"
 #include "fescue/snapshot.h"
+#include "member_table.h"
 #include "packet.h"
 }
 
@@ -19,6 +20,7 @@
 	struct membership *membership;
 	struct distribution *d;
 	std::vector<uint64_t> applied, rejected;
+	bool watching = false;
 
 	lone_distribution()
 	{
@@ -46,9 +48,31 @@
 				rules_destroy(action.u.apply.rules);
 			} else if (action.type == DISTRIBUTION_REJECT) {
 				rejected.push_back(action.version);
+			} else {
+				watching = action.type == DISTRIBUTION_WATCH;
 			}
 		}
 	}
+	/* Hosts of the same domain with larger links, so that they are relays. */
+	void add_peers(uint64_t count)
+	{
+		for (uint64_t i = 0; i < count; i++) {
+			Fescue__Packet *packet =
+				packet_create(FESCUE__PACKET__BODY_SYNC_REPLY);
+			Fescue__SyncReply *reply = packet->sync_reply;
+			struct host peer = {};
+
+			peer.address = 10 + i;
+			peer.incarnation = 1;
+			peer.capacity = 100;
+			reply->members = g_new(Fescue__Member *, 1);
+			reply->members[0] = member_record_create(&peer);
+			reply->n_members = 1;
+			membership_receive(membership, peer.address, packet,
+					   1000, &outbox);
+			packet_destroy(packet);
+		}
+	}
 	/* A value in the store; NULL: one that cannot be decoded. */
 	void read(uint64_t version, const char *text)
 	{
--- a/test/test_freshness.cc
+++ b/test/test_freshness.cc
@@ -3,6 +3,7 @@
  * and of hosts that read the store because they miss these reports.
  */
 #include "fleet_sim.h"
+#include "lone_distribution.h"
 
 namespace
 {
@@ -167,4 +168,27 @@
 	}
 }
 
+/* Guards against a second call to the store for each read in place of a relay. */
+TEST(freshness, answer_ends_a_read_at_once)
+{
+	lone_distribution host;
+	uint64_t reads = 0;
+
+	distribution_tick(host.d, 1000, &host.outbox);
+	host.take_actions();
+	host.add_peers(8);
+	for (uint64_t now_ms = 1050; now_ms < 10000; now_ms += 50) {
+		distribution_tick(host.d, now_ms, &host.outbox);
+		host.take_actions();
+		if (!host.watching)
+			continue;
+		reads++;
+		distribution_confirm(host.d, now_ms, 1, now_ms, &host.outbox);
+		host.take_actions();
+		EXPECT_FALSE(host.watching) << now_ms;
+	}
+	EXPECT_FALSE(distribution_is_candidate(host.d));
+	EXPECT_GE(reads, 4u);
+}
+
 } // namespace
