tests: one start of a simulated fleet, no unused member

test_freshness had copied start_all() from test_distribution; it now stands beside the simulation. process_fleet set a member that nothing read, and the comment of lone_distribution.h was out of date. Assertions are unchanged; test_freshness and test_distribution pass, test_fleet compiles and was not run again.

--- a/test/fleet_sim.h
+++ b/test/fleet_sim.h
@@ -510,4 +510,11 @@
 	}
 };
 
+inline void start_all(fleet_sim &sim)
+{
+	for (auto &node : sim.nodes)
+		sim.start(*node);
+	sim.run_for(6000);
+}
+
 #endif
--- a/test/lone_distribution.h
+++ b/test/lone_distribution.h
@@ -1,5 +1,6 @@
 /*
- * A distribution without peers, for tests of what it does with single values.
+ * One distribution without a simulated fleet, for tests of what it does with
+ * single values and answers.
  */
 #ifndef FESCUE_TEST_LONE_DISTRIBUTION_H
 #define FESCUE_TEST_LONE_DISTRIBUTION_H
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -81,7 +81,6 @@
 	std::vector<tracked_route> routes;
 	std::vector<std::string> late; /* what was found, as text */
 	uint64_t version = 0, moves = 0, requests = 0, changes = 0;
-	size_t probed_route = 0;
 	GRand *random;
 
 	process_fleet(uint32_t seed, int count, int domains)
@@ -342,7 +341,6 @@
 			if (r.dropped_ms == UINT64_MAX)
 				r.dropped_ms = now;
 		}
-		probed_route = routes.size() - 1;
 		changes++;
 	}
 	void put(const std::string &value)
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -4,13 +4,6 @@
 namespace
 {
 
-void start_all(fleet_sim &sim)
-{
-	for (auto &node : sim.nodes)
-		sim.start(*node);
-	sim.run_for(6000);
-}
-
 size_t count_with_version(fleet_sim &sim, uint64_t version)
 {
 	size_t count = 0;
--- a/test/test_freshness.cc
+++ b/test/test_freshness.cc
@@ -8,13 +8,6 @@
 namespace
 {
 
-void start_all(fleet_sim &sim)
-{
-	for (auto &node : sim.nodes)
-		sim.start(*node);
-	sim.run_for(6000);
-}
-
 /* Returns how many running hosts do not have the version. */
 size_t count_late(fleet_sim &sim, uint64_t version)
 {
