--- a/src/transport.c
+++ b/src/transport.c
@@ -1,375 +1,40 @@
-#include "transport.h"
+#include "transport_state.h"
 
-#include "call_request.h"
 #include "fescue/error.h"
-#include "fescue/header_codec.h"
-#include "log.h"
-#include "socket_options.h"
-
-#include <inttypes.h>
-#include <string.h>
 
 #define LISTEN_BACKLOG 512
-#define FRAME_HEADER_BYTES 4
-#define READ_BUFFER_BYTES 65536
 #define DATAGRAM_OVERHEAD_BYTES 28
-/* Round trips take milliseconds; unsent calls can go to another host. */
-#define CONNECT_TIMEOUT_MS 400
-/* A link with a send this recent may have calls in flight. */
-#define ACTIVE_LINK_MS 6000
-/* Time without input after which an active link is pinged. */
-#define PING_AFTER_MS 400
-/* Enough for a slow peer, so that only a frozen or partitioned one fails. */
-#define PING_TIMEOUT_MS 1000
-
-enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSING };
-
-/* One TCP connection with a peer, in either direction. */
-struct link {
-	struct transport *transport;
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uint64_t peer; /* 0 until an accepted link has received Hello */
-	enum link_state state;
-	uint64_t last_send_ms; /* initially the time of creation */
-	uint64_t last_receive_ms;
-	uint64_t ping_sent_ms; /* 0: no ping is unanswered */
-	GByteArray *input;
-	GQueue unsent; /* GByteArray, frames queued until connected */
-	struct header_encoder *encoder;
-	struct header_decoder *decoder;
-};
-
-struct transport {
-	uv_loop_t *loop;
-	struct address own;
-	struct transport_events events;
-	struct counters *counters;
-	uv_udp_t udp;
-	uv_tcp_t listener;
-	GHashTable *links_by_peer; /* uint64_t -> struct link to send on */
-	GPtrArray *all_links; /* every link that is not closed */
-	char buffer[READ_BUFFER_BYTES];
-	int stopped;
-};
-
-struct write {
-	uv_write_t req;
-	GByteArray *frame;
-};
 
 struct datagram {
 	uv_udp_send_t req;
 	GByteArray *bytes;
 };
 
-static enum packet_purpose received_purpose(const Fescue__Packet *packet)
-{
-	switch (packet->body_case) {
-	case FESCUE__PACKET__BODY_PING:
-	case FESCUE__PACKET__BODY_ACK:
-	case FESCUE__PACKET__BODY_PING_REQUEST:
-		return PACKET_MEMBERSHIP;
-	case FESCUE__PACKET__BODY_SYNC_REQUEST:
-	case FESCUE__PACKET__BODY_SYNC_REPLY:
-	case FESCUE__PACKET__BODY_CONFIG_FETCH:
-		return PACKET_REPAIR;
-	case FESCUE__PACKET__BODY_CONFIG_PUSH:
-	case FESCUE__PACKET__BODY_CONFIG_ACK:
-	case FESCUE__PACKET__BODY_CONFIG_STATE:
-		return PACKET_CONFIG;
-	default:
-		return PACKET_CALL;
-	}
-}
-
-/* Pack a packet, after header_bytes (0 or FRAME_HEADER_BYTES) of header. */
-static GByteArray *encode_packet(const Fescue__Packet *packet,
-				 size_t header_bytes)
-{
-	size_t size = fescue__packet__get_packed_size(packet);
-	GByteArray *bytes =
-		g_byte_array_sized_new((guint)(size + header_bytes));
-
-	g_byte_array_set_size(bytes, (guint)(size + header_bytes));
-	fescue__packet__pack(packet, bytes->data + header_bytes);
-	if (header_bytes) {
-		bytes->data[0] = (guint8)(size >> 24);
-		bytes->data[1] = (guint8)(size >> 16);
-		bytes->data[2] = (guint8)(size >> 8);
-		bytes->data[3] = (guint8)size;
-	}
-	return bytes;
-}
-
-static int link_handle_packet(struct link *link, const Fescue__Packet *packet);
-
-static void link_encode(struct link *link, Fescue__Packet *packet)
-{
-	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
-		call_request_encode(link->encoder, packet->call_request);
-	else if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
-		header_encode(link->encoder, packet->call_answer->headers,
-			      packet->call_answer->n_headers);
-}
-
-static int link_decode(struct link *link, Fescue__Packet *packet)
-{
-	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
-		return call_request_decode(link->decoder, packet->call_request);
-	if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
-		return header_decode(link->decoder,
-				     packet->call_answer->headers,
-				     packet->call_answer->n_headers);
-	return FESCUE_OK;
-}
-
-/*
- * Decode one packet and pass it to the received callback; link is NULL for a
- * datagram. Returns 0 or FESCUE_EINVAL.
- */
-static int deliver(struct transport *t, struct link *link, uint64_t from,
-		   const uint8_t *bytes, size_t size, size_t overhead)
-{
-	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
-
-	if (!packet || packet->body_case == FESCUE__PACKET__BODY__NOT_SET ||
-	    (link && link_decode(link, packet))) {
-		t->counters->values[COUNTER_packets_malformed]++;
-		packet_destroy(packet);
-		return FESCUE_EINVAL;
-	}
-	t->counters->bytes_received[received_purpose(packet)] +=
-		size + overhead;
-	if (!link || !link_handle_packet(link, packet))
-		t->events.received(t->events.data, from, packet);
-	packet_destroy(packet);
-	return FESCUE_OK;
-}
-
-static void link_write(struct link *link, GByteArray *frame);
-
-static void link_send_empty(struct link *link, Fescue__Packet__BodyCase body)
-{
-	Fescue__Packet *packet = packet_create(body);
-
-	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
-	packet_destroy(packet);
-}
-
-/* Handle a ping or pong of the link; returns 0 for any other packet. */
-static int link_handle_packet(struct link *link, const Fescue__Packet *packet)
-{
-	if (packet->body_case == FESCUE__PACKET__BODY_LINK_PING)
-		link_send_empty(link, FESCUE__PACKET__BODY_LINK_PONG);
-	return packet->body_case == FESCUE__PACKET__BODY_LINK_PING ||
-	       packet->body_case == FESCUE__PACKET__BODY_LINK_PONG;
-}
-
-static void link_free(uv_handle_t *handle)
-{
-	struct link *link = handle->data;
-
-	g_byte_array_free(link->input, TRUE);
-	header_encoder_destroy(link->encoder);
-	header_decoder_destroy(link->decoder);
-	g_queue_clear_full(&link->unsent, (GDestroyNotify)g_byte_array_unref);
-	g_free(link);
-}
-
-static void link_close(struct link *link)
-{
-	struct transport *t = link->transport;
-	int connected = link->state == LINK_OPEN;
-
-	if (link->state == LINK_CLOSING)
-		return;
-	link->state = LINK_CLOSING;
-	g_ptr_array_remove_fast(t->all_links, link);
-	if (g_hash_table_lookup(t->links_by_peer, &link->peer) == link)
-		g_hash_table_remove(t->links_by_peer, &link->peer);
-	uv_close((uv_handle_t *)&link->tcp, link_free);
-	if (!connected)
-		t->counters->values[COUNTER_links_failed]++;
-	if (link->peer && !t->stopped)
-		t->events.link_closed(t->events.data, link->peer, connected);
-}
-
-static void on_written(uv_write_t *req, int status)
-{
-	struct write *write = req->data;
-
-	g_byte_array_unref(write->frame);
-	if (status && status != UV_ECANCELED)
-		link_close(req->handle->data);
-	g_free(write);
-}
-
-static void link_write(struct link *link, GByteArray *frame)
-{
-	struct write *write = g_new0(struct write, 1);
-	uv_buf_t buf = uv_buf_init((char *)frame->data, frame->len);
-
-	write->frame = frame;
-	write->req.data = write;
-	uv_write(&write->req, (uv_stream_t *)&link->tcp, &buf, 1, on_written);
-}
-
-static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	struct link *link = handle->data;
-
-	(void)suggested;
-	*buf = uv_buf_init(link->transport->buffer, READ_BUFFER_BYTES);
-}
-
-static size_t frame_size(const uint8_t *header)
-{
-	return (size_t)header[0] << 24 | (size_t)header[1] << 16 |
-	       (size_t)header[2] << 8 | header[3];
-}
-
-static void receive_hello(struct link *link, const uint8_t *bytes, size_t size)
-{
-	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
-	GHashTable *links_by_peer = link->transport->links_by_peer;
-
-	if (packet && packet->body_case == FESCUE__PACKET__BODY_HELLO)
-		link->peer = packet->hello->address;
-	packet_destroy(packet);
-	/* Answers are sent on the link on which the requests arrive. */
-	if (link->peer && !g_hash_table_contains(links_by_peer, &link->peer))
-		g_hash_table_insert(links_by_peer, &link->peer, link);
-}
-
-/* Returns the bytes consumed; 0 if the frame is incomplete or too large. */
-static size_t process_frame(struct link *link, const uint8_t *bytes,
-			    size_t size)
-{
-	size_t body;
-
-	if (size < FRAME_HEADER_BYTES)
-		return 0;
-	body = frame_size(bytes);
-	if (body > TRANSPORT_MAX_FRAME_BYTES) {
-		link_close(link);
-		return 0;
-	}
-	if (size < FRAME_HEADER_BYTES + body)
-		return 0;
-	bytes += FRAME_HEADER_BYTES;
-	if (!link->peer) {
-		receive_hello(link, bytes, body);
-		if (!link->peer)
-			link_close(link);
-	} else if (deliver(link->transport, link, link->peer, bytes, body,
-			   FRAME_HEADER_BYTES)) {
-		link_close(link);
-	}
-	return FRAME_HEADER_BYTES + body;
-}
-
-static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
-{
-	struct link *link = stream->data;
-	size_t used = 0, step;
-
-	if (n < 0) {
-		link_close(link);
-		return;
-	}
-	link->last_receive_ms = uv_now(link->transport->loop);
-	link->ping_sent_ms = 0;
-	g_byte_array_append(link->input, (guint8 *)buf->base, (guint)n);
-	while (link->state == LINK_OPEN &&
-	       (step = process_frame(link, link->input->data + used,
-				     link->input->len - used)))
-		used += step;
-	if (link->state == LINK_OPEN && used)
-		g_byte_array_remove_range(link->input, 0, (guint)used);
-}
-
-static struct link *link_create(struct transport *t)
-{
-	struct link *link = g_new0(struct link, 1);
-
-	link->transport = t;
-	link->last_send_ms = uv_now(t->loop);
-	link->input = g_byte_array_new();
-	link->encoder = header_encoder_create();
-	link->decoder = header_decoder_create();
-	g_queue_init(&link->unsent);
-	uv_tcp_init(t->loop, &link->tcp);
-	link->tcp.data = link;
-	g_ptr_array_add(t->all_links, link);
-	return link;
-}
-
-static void link_start(struct link *link)
-{
-	link->state = LINK_OPEN;
-	link->last_receive_ms = uv_now(link->transport->loop);
-	socket_options_set(&link->tcp);
-	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
-	link->transport->counters->values[COUNTER_links_opened]++;
-}
-
-static void on_accept(uv_stream_t *listener, int status)
-{
-	struct transport *t = listener->data;
-	struct link *link;
-
-	if (status)
-		return;
-	link = link_create(t);
-	if (uv_accept(listener, (uv_stream_t *)&link->tcp))
-		link_close(link);
-	else
-		link_start(link);
-}
-
-static GByteArray *create_hello(const struct transport *t)
-{
-	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_HELLO);
-	GByteArray *frame;
-
-	packet->hello->address = address_key(t->own);
-	frame = encode_packet(packet, FRAME_HEADER_BYTES);
-	packet_destroy(packet);
-	return frame;
-}
-
-static void on_connected(uv_connect_t *req, int status)
+static void on_datagram_sent(uv_udp_send_t *req, int status)
 {
-	struct link *link = req->data;
-	GByteArray *frame;
+	struct datagram *datagram = req->data;
 
-	if (link->state == LINK_CLOSING)
-		return;
-	if (status) {
-		link_close(link);
-		return;
-	}
-	link_start(link);
-	link_write(link, create_hello(link->transport));
-	while ((frame = g_queue_pop_head(&link->unsent)))
-		link_write(link, frame);
+	(void)status;
+	g_byte_array_unref(datagram->bytes);
+	g_free(datagram);
 }
 
-static struct link *link_open(struct transport *t, uint64_t peer)
+static void send_by_datagram(struct transport *t, uint64_t to,
+			     enum packet_purpose purpose,
+			     const Fescue__Packet *packet)
 {
-	struct sockaddr_in in = address_to_sockaddr(address_from_key(peer));
-	struct link *link = link_create(t);
+	struct sockaddr_in in = address_to_sockaddr(address_from_key(to));
+	struct datagram *datagram = g_new0(struct datagram, 1);
+	uv_buf_t buf;
 
-	link->peer = peer;
-	link->connect.data = link;
-	g_hash_table_insert(t->links_by_peer, &link->peer, link);
-	if (uv_tcp_connect(&link->connect, &link->tcp, (struct sockaddr *)&in,
-			   on_connected)) {
-		link_close(link);
-		return NULL;
-	}
-	return link;
+	datagram->bytes = encode_packet(packet, 0);
+	datagram->req.data = datagram;
+	buf = uv_buf_init((char *)datagram->bytes->data, datagram->bytes->len);
+	t->counters->bytes_sent[purpose] +=
+		datagram->bytes->len + DATAGRAM_OVERHEAD_BYTES;
+	if (uv_udp_send(&datagram->req, &t->udp, &buf, 1,
+			(struct sockaddr *)&in, on_datagram_sent))
+		on_datagram_sent(&datagram->req, -1);
 }
 
 static void send_by_link(struct transport *t, uint64_t to,
@@ -392,33 +57,6 @@
 		g_queue_push_tail(&link->unsent, frame);
 }
 
-static void on_datagram_sent(uv_udp_send_t *req, int status)
-{
-	struct datagram *datagram = req->data;
-
-	(void)status;
-	g_byte_array_unref(datagram->bytes);
-	g_free(datagram);
-}
-
-static void send_by_datagram(struct transport *t, uint64_t to,
-			     enum packet_purpose purpose,
-			     const Fescue__Packet *packet)
-{
-	struct sockaddr_in in = address_to_sockaddr(address_from_key(to));
-	struct datagram *datagram = g_new0(struct datagram, 1);
-	uv_buf_t buf;
-
-	datagram->bytes = encode_packet(packet, 0);
-	datagram->req.data = datagram;
-	buf = uv_buf_init((char *)datagram->bytes->data, datagram->bytes->len);
-	t->counters->bytes_sent[purpose] +=
-		datagram->bytes->len + DATAGRAM_OVERHEAD_BYTES;
-	if (uv_udp_send(&datagram->req, &t->udp, &buf, 1,
-			(struct sockaddr *)&in, on_datagram_sent))
-		on_datagram_sent(&datagram->req, -1);
-}
-
 void transport_send(struct transport *t, uint64_t to,
 		    enum packet_purpose purpose, Fescue__Packet *packet)
 {
@@ -431,43 +69,6 @@
 		send_by_link(t, to, purpose, packet);
 }
 
-static void check_link_liveness(struct link *link, uint64_t now)
-{
-	if (link->state != LINK_OPEN || !link->peer)
-		return;
-	if (link->ping_sent_ms && now >= link->ping_sent_ms + PING_TIMEOUT_MS) {
-		log_state("closing the link with peer %016" PRIx64
-			  ": ping timeout",
-			  link->peer);
-		link_close(link);
-	} else if (!link->ping_sent_ms &&
-		   now <= link->last_send_ms + ACTIVE_LINK_MS &&
-		   now >= link->last_receive_ms + PING_AFTER_MS) {
-		link->ping_sent_ms = now;
-		link_send_empty(link, FESCUE__PACKET__BODY_LINK_PING);
-	}
-}
-
-void transport_check_links(struct transport *t, uint64_t idle_ms)
-{
-	uint64_t now = uv_now(t->loop);
-
-	for (guint i = t->all_links->len; i-- > 0;) {
-		struct link *link = g_ptr_array_index(t->all_links, i);
-		uint64_t limit = link->state == LINK_CONNECTING ?
-					 CONNECT_TIMEOUT_MS :
-					 idle_ms;
-
-		if (now >
-		    MAX(link->last_send_ms, link->last_receive_ms) + limit)
-			link_close(link);
-		else
-			check_link_liveness(link, now);
-		/* link_closed() may have closed further links. */
-		i = MIN(i, t->all_links->len);
-	}
-}
-
 static void on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	struct transport *t = handle->data;
@@ -486,8 +87,23 @@
 		return;
 	address = address_from_sockaddr(
 		(const struct sockaddr_in *)(const void *)from);
-	deliver(t, NULL, address_key(address), (const uint8_t *)buf->base,
-		(size_t)n, DATAGRAM_OVERHEAD_BYTES);
+	transport_deliver(t, NULL, address_key(address),
+			  (const uint8_t *)buf->base, (size_t)n,
+			  DATAGRAM_OVERHEAD_BYTES);
+}
+
+static void on_accept(uv_stream_t *listener, int status)
+{
+	struct transport *t = listener->data;
+	struct link *link;
+
+	if (status)
+		return;
+	link = link_create(t);
+	if (uv_accept(listener, (uv_stream_t *)&link->tcp))
+		link_close(link);
+	else
+		link_start(link);
 }
 
 static int bind_sockets(struct transport *t)
--- /dev/null
+++ b/src/transport_check.c
@@ -0,0 +1,52 @@
+/* Checks whether links are alive. */
+#include "transport_state.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+
+/* Round trips take milliseconds; unsent calls can go to another host. */
+#define CONNECT_TIMEOUT_MS 400
+/* A link with a send this recent may have calls in flight. */
+#define ACTIVE_LINK_MS 6000
+/* Time without input after which an active link is pinged. */
+#define PING_AFTER_MS 400
+/* Enough for a slow peer, so that only a frozen or partitioned one fails. */
+#define PING_TIMEOUT_MS 1000
+
+static void check_link_liveness(struct link *link, uint64_t now)
+{
+	if (link->state != LINK_OPEN || !link->peer)
+		return;
+	if (link->ping_sent_ms && now >= link->ping_sent_ms + PING_TIMEOUT_MS) {
+		log_state("closing the link with peer %016" PRIx64
+			  ": ping timeout",
+			  link->peer);
+		link_close(link);
+	} else if (!link->ping_sent_ms &&
+		   now <= link->last_send_ms + ACTIVE_LINK_MS &&
+		   now >= link->last_receive_ms + PING_AFTER_MS) {
+		link->ping_sent_ms = now;
+		link_send_empty(link, FESCUE__PACKET__BODY_LINK_PING);
+	}
+}
+
+void transport_check_links(struct transport *t, uint64_t idle_ms)
+{
+	uint64_t now = uv_now(t->loop);
+
+	for (guint i = t->all_links->len; i-- > 0;) {
+		struct link *link = g_ptr_array_index(t->all_links, i);
+		uint64_t limit = link->state == LINK_CONNECTING ?
+					 CONNECT_TIMEOUT_MS :
+					 idle_ms;
+
+		if (now >
+		    MAX(link->last_send_ms, link->last_receive_ms) + limit)
+			link_close(link);
+		else
+			check_link_liveness(link, now);
+		/* link_closed() may have closed further links. */
+		i = MIN(i, t->all_links->len);
+	}
+}
--- /dev/null
+++ b/src/transport_state.h
@@ -0,0 +1,74 @@
+/* Private state of the transport: its links, shared by the files of the module. */
+#ifndef FESCUE_TRANSPORT_STATE_H
+#define FESCUE_TRANSPORT_STATE_H
+
+#include "fescue/header_codec.h"
+#include "transport.h"
+
+#define READ_BUFFER_BYTES 65536
+#define FRAME_HEADER_BYTES 4
+
+enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSING };
+
+/* One TCP connection with a peer, in either direction. */
+struct link {
+	struct transport *transport;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	uint64_t peer; /* 0 until an accepted link has received Hello */
+	enum link_state state;
+	uint64_t last_send_ms; /* initially the time of creation */
+	uint64_t last_receive_ms;
+	uint64_t ping_sent_ms; /* 0: no ping is unanswered */
+	GByteArray *input;
+	GQueue unsent; /* GByteArray, frames queued until connected */
+	struct header_encoder *encoder;
+	struct header_decoder *decoder;
+};
+
+struct transport {
+	uv_loop_t *loop;
+	struct address own;
+	struct transport_events events;
+	struct counters *counters;
+	uv_udp_t udp;
+	uv_tcp_t listener;
+	GHashTable *links_by_peer; /* uint64_t -> struct link to send on */
+	GPtrArray *all_links; /* every link that is not closed */
+	char buffer[READ_BUFFER_BYTES];
+	int stopped;
+};
+
+/* Pack a packet, after header_bytes (0 or FRAME_HEADER_BYTES) of header. */
+GByteArray *encode_packet(const Fescue__Packet *packet, size_t header_bytes);
+
+/*
+ * Decode one packet and pass it to the received callback; link is NULL for a
+ * datagram. Returns 0 or FESCUE_EINVAL.
+ */
+int transport_deliver(struct transport *transport, struct link *link,
+		      uint64_t from, const uint8_t *bytes, size_t size,
+		      size_t overhead);
+
+/* Open a link to a peer; returns NULL if that fails at once. */
+struct link *link_open(struct transport *transport, uint64_t peer);
+
+/* Create a link in the table of all links, for a connection to be accepted. */
+struct link *link_create(struct transport *transport);
+
+/* Read from a link that is connected. */
+void link_start(struct link *link);
+
+/* Close a link and report it; no effect on one that is closing. */
+void link_close(struct link *link);
+
+/* Compress the headers of a call in a packet that is sent on the link. */
+void link_encode(struct link *link, Fescue__Packet *packet);
+
+/* Send a frame, which is released afterwards. */
+void link_write(struct link *link, GByteArray *frame);
+
+/* Send a packet without content. */
+void link_send_empty(struct link *link, Fescue__Packet__BodyCase body);
+
+#endif
