transport, log: tell when a call was sent, read and passed on

The log could not tell a request that came late from one that waited at its host, nor when a cancel had been sent.

--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -2878,7 +2878,7 @@
   (ProtobufCMessageInit) fescue__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__packet__field_descriptors[19] =
+static const ProtobufCFieldDescriptor fescue__packet__field_descriptors[21] =
 {
   {
     "ping",
@@ -3108,6 +3108,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "clock_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Packet, clock_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__Packet, sent_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__packet__field_indices_by_name[] = {
   1,   /* field[1] = ack */
@@ -3116,6 +3140,7 @@
   11,   /* field[11] = call_query */
   8,   /* field[8] = call_request */
   12,   /* field[12] = call_running */
+  19,   /* field[19] = clock_ms */
   6,   /* field[6] = config_ack */
   7,   /* field[7] = config_fetch */
   5,   /* field[5] = config_push */
@@ -3127,13 +3152,14 @@
   2,   /* field[2] = ping_request */
   15,   /* field[15] = quarantine_ack */
   14,   /* field[14] = quarantine_report */
+  20,   /* field[20] = sent_ms */
   4,   /* field[4] = sync_reply */
   3,   /* field[3] = sync_request */
 };
 static const ProtobufCIntRange fescue__packet__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor fescue__packet__descriptor =
 {
@@ -3143,7 +3169,7 @@
   "Fescue__Packet",
   "fescue",
   sizeof(Fescue__Packet),
-  19,
+  21,
   fescue__packet__field_descriptors,
   fescue__packet__field_indices_by_name,
   1,  fescue__packet__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -485,7 +485,8 @@
 
 
 /*
- * Checks that the other end of a TCP link is alive; the reply is LinkPong.
+ * Checks that the other end of a TCP link is alive; the reply is LinkPong,
+ * behind all that its sender had read before. Also the first packet after Hello.
  */
 struct  Fescue__LinkPing
 {
@@ -570,6 +571,17 @@
 struct  Fescue__Packet
 {
   ProtobufCMessage base;
+  /*
+   * On TCP links only; see transport.h. 0: not told.
+   */
+  /*
+   * clock of the sender
+   */
+  uint32_t clock_ms;
+  /*
+   * clock of the receiver when this was sent, or
+   */
+  uint32_t sent_ms;
   Fescue__Packet__BodyCase body_case;
   union {
     Fescue__Ping *ping;
@@ -595,7 +607,7 @@
 };
 #define FESCUE__PACKET__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__packet__descriptor) \
-    , FESCUE__PACKET__BODY__NOT_SET, {0} }
+    , 0, 0, FESCUE__PACKET__BODY__NOT_SET, {0} }
 
 
 /* Fescue__Member methods */
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -55,6 +55,7 @@
 struct received_request {
 	uint64_t from;
 	uint64_t arrived_us;
+	uint32_t age_ms; /* since it was sent, at most */
 	Fescue__CallRequest *request;
 };
 
@@ -67,7 +68,8 @@
 }
 
 static void admit_request(struct backend_server *b, uint64_t from,
-			  Fescue__CallRequest *request, uint64_t arrived_us)
+			  Fescue__CallRequest *request, uint64_t arrived_us,
+			  uint32_t age_ms)
 {
 	enum admission_reason reason;
 	void *answer;
@@ -83,18 +85,20 @@
 	switch (request_admission(b, request, &reason)) {
 	case ADMISSION_ADMITTED:
 		inbound_call_log(b, from, request, LOG_DECISION, "admitted",
-				 "\"rank\":%u,\"depth\":%u,\"left_ms\":%u",
+				 "\"rank\":%u,\"depth\":%u,\"left_ms\":%u,"
+				 "\"age_ms\":%u",
 				 request->rank, request->depth,
-				 request->deadline_ms);
+				 request->deadline_ms, age_ms);
 		inbound_call_begin(
 			inbound_call_create(b, from, request, arrived_us));
 		break;
 	case ADMISSION_QUEUED:
 		inbound_call_log(b, from, request, LOG_DECISION, "queued",
 				 "\"rank\":%u,\"depth\":%u,\"left_ms\":%u,"
-				 "\"wait_max_ms\":%u",
+				 "\"wait_max_ms\":%u,\"age_ms\":%u",
 				 request->rank, request->depth,
-				 request->deadline_ms, request->queue_ms);
+				 request->deadline_ms, request->queue_ms,
+				 age_ms);
 		inbound_call_create(b, from, request, arrived_us);
 		break;
 	case ADMISSION_REFUSED:
@@ -111,9 +115,12 @@
 	if (c->state == INBOUND_CALL_REPORTING ||
 	    (c->state == INBOUND_CALL_RUNNING && !c->request->idempotent))
 		return;
-	inbound_call_log(c->backend, c->from, c->request, LOG_FAILURE,
-			 "canceled", "\"running\":%d",
-			 c->state == INBOUND_CALL_RUNNING);
+	inbound_call_log(
+		c->backend, c->from, c->request, LOG_FAILURE, "canceled",
+		"\"running\":%d,\"held_ms\":%" PRIu64 ",\"news_ms\":%u",
+		c->state == INBOUND_CALL_RUNNING,
+		(monotonic_clock_us() - c->arrived_us) / 1000,
+		node_context_news_age_ms(c->backend->context, c->from));
 	inbound_call_end(c);
 }
 
@@ -125,7 +132,7 @@
 	uv_check_stop(check);
 	while ((r = g_queue_pop_head(&b->received))) {
 		admit_request(b, r->from, g_steal_pointer(&r->request),
-			      r->arrived_us);
+			      r->arrived_us, r->age_ms);
 		received_request_free(r);
 	}
 }
@@ -142,6 +149,7 @@
 
 	r->from = from;
 	r->arrived_us = monotonic_clock_us();
+	r->age_ms = node_context_news_age_ms(b->context, from);
 	r->request = request;
 	g_queue_push_tail(&b->received, r);
 	uv_check_start(&b->iteration_end, on_iteration_end);
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -17,6 +17,8 @@
  * longer, because the backend server may be closing it.
  */
 #define NON_IDEMPOTENT_IDLE_MAX_MS 2000
+/* A call that starts sooner after its arrival has no line for its start. */
+#define LOGGED_HOLD_MS 10
 
 static void inbound_call_free(gpointer p)
 {
@@ -245,6 +247,7 @@
 	struct http_header *headers =
 		g_new(struct http_header, r->n_headers + 2);
 	char remaining[24];
+	uint64_t held_ms = (c->started_us - c->arrived_us) / 1000;
 	struct http_request http = {
 		.method = r->method,
 		.path = r->path,
@@ -260,7 +263,11 @@
 
 	g_snprintf(remaining, sizeof(remaining), "%u", http.timeout_ms);
 	http.header_count = fill_headers(c, remaining, headers);
-	c->state = INBOUND_CALL_RUNNING;
+	if (held_ms >= LOGGED_HOLD_MS)
+		inbound_call_log(b, c->from, r, LOG_DECISION, "run_started",
+				 "\"held_ms\":%" PRIu64 ",\"news_ms\":%u",
+				 held_ms,
+				 node_context_news_age_ms(b->context, c->from));
 	backend_increment_counter(b, COUNTER_served_runs);
 	c->http = http_pool_send(b->pool, &http, on_backend_answer, c);
 	g_free(headers);
--- a/src/node.c
+++ b/src/node.c
@@ -19,8 +19,6 @@
 /* Peers probed when the backend server changes; they gossip the change on. */
 #define ANNOUNCE_FAN_OUT 12
 #define ISOLATED_AFTER_MS 5000 /* without an answer from any peer */
-/* A smaller offset is only the time between reading the two clocks. */
-#define SUSPENSION_MIN_MS 200
 
 uint64_t node_now_ms(const struct node *node)
 {
@@ -192,6 +190,13 @@
 	packet_destroy(packet);
 }
 
+static uint32_t news_age_ms(void *data, uint64_t peer)
+{
+	const struct node *node = data;
+
+	return transport_news_age_ms(node->transport, peer);
+}
+
 static void on_backend_changed(void *data, const struct backend_status *status)
 {
 	struct node *node = data;
@@ -228,29 +233,12 @@
 	node->isolated = isolated;
 }
 
-/*
- * The loop's clock does not advance while the host is suspended, but the boot
- * clock does. Adds the difference to the node's clock.
- */
-static void detect_suspension(struct node *node)
-{
-	uint64_t offset_ms = boot_clock_ms() - uv_now(node->loop);
-
-	if (offset_ms > node->boot_offset_ms + SUSPENSION_MIN_MS) {
-		log_state("the host was suspended for %" PRIu64 " ms",
-			  offset_ms - node->boot_offset_ms);
-		node->context.suspended_ms += offset_ms - node->boot_offset_ms;
-	}
-	if (offset_ms > node->boot_offset_ms)
-		node->boot_offset_ms = offset_ms;
-}
-
 static void on_tick(uv_timer_t *timer)
 {
 	struct node *node = timer->data;
 	uint64_t now_ms;
 
-	detect_suspension(node);
+	node_detect_lost_time(node);
 	now_ms = node_now_ms(node);
 	if (membership_tick(node->membership, now_ms, &node->outbox)) {
 		log_state("the process was frozen; "
@@ -460,6 +448,7 @@
 		.own = node->self_address,
 		.epoch = self.epoch,
 		.send = send_packet,
+		.news_age_ms = news_age_ms,
 		.data = node,
 	};
 	node->membership = membership_create(&s->membership, &self, seed,
--- a/src/node.h
+++ b/src/node.h
@@ -70,6 +70,7 @@
 	uv_signal_t sigterm;
 	uv_signal_t sigint;
 	uv_signal_t sighup;
+	uint64_t tick_ms; /* time of the last tick; 0: none */
 	uint64_t boot_offset_ms; /* boot_clock_ms() minus uv_now() */
 	uint64_t stop_started_ms; /* 0: not stopping */
 	int membership_left; /* peers notified, the backend server drains */
@@ -144,4 +145,10 @@
 /* Milliseconds since an arbitrary start, including host suspensions. */
 uint64_t node_now_ms(const struct node *node);
 
+/*
+ * Adds the time in which the host was suspended to the node's clock, and logs
+ * that and stalls of the event loop. Call at each tick.
+ */
+void node_detect_lost_time(struct node *node);
+
 #endif
--- a/src/node_context.h
+++ b/src/node_context.h
@@ -25,7 +25,9 @@
 	 * itself is handled before the function returns.
 	 */
 	void (*send)(void *data, uint64_t to, Fescue__Packet *packet);
-	void *data; /* first argument of send */
+	/* See transport_news_age_ms(). NULL: peers do not tell. */
+	uint32_t (*news_age_ms)(void *data, uint64_t peer);
+	void *data; /* first argument of the callbacks */
 };
 
 static inline void node_context_send(const struct node_context *context,
@@ -34,6 +36,15 @@
 	context->send(context->data, to, packet);
 }
 
+/* Age of what this node knows of a peer's calls and cancels; 0: of its own. */
+static inline uint32_t
+node_context_news_age_ms(const struct node_context *context, uint64_t peer)
+{
+	if (peer == context->own || !context->news_age_ms)
+		return 0;
+	return context->news_age_ms(context->data, peer);
+}
+
 /* Clock for deadlines and timeouts; includes host suspensions. */
 static inline uint64_t node_context_now_ms(const struct node_context *context)
 {
--- a/src/transport.c
+++ b/src/transport.c
@@ -131,6 +131,7 @@
 	t->events = *events;
 	t->counters = counters;
 	t->links_by_peer = g_hash_table_new(g_int64_hash, g_int64_equal);
+	t->call_links = g_hash_table_new(g_int64_hash, g_int64_equal);
 	t->all_links = g_ptr_array_new();
 	uv_udp_init(loop, &t->udp);
 	uv_tcp_init(loop, &t->listener);
--- a/src/transport.h
+++ b/src/transport.h
@@ -47,6 +47,14 @@
 void transport_send(struct transport *transport, uint64_t to,
 		    enum packet_purpose purpose, Fescue__Packet *packet);
 
+/*
+ * Age in ms of the newest packet on the link of a peer's calls, by the time when
+ * it was sent, or more; what the peer sent later, such as a cancel, may still be
+ * under way. UINT32_MAX if there is no such link, 0 if the peer does not tell.
+ */
+uint32_t transport_news_age_ms(const struct transport *transport,
+			       uint64_t peer);
+
 /*
  * Check the links against the loop's time; to be called periodically. Sends a
  * ping on links with recent sends from which nothing is received, and closes
--- a/src/transport_link.c
+++ b/src/transport_link.c
@@ -51,6 +51,7 @@
 
 void link_encode(struct link *link, Fescue__Packet *packet)
 {
+	link_stamp(link, packet);
 	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
 		call_request_encode(link->encoder, packet->call_request);
 	else if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
@@ -82,6 +83,10 @@
 	}
 	t->counters->bytes_received[received_purpose(packet)] +=
 		size + overhead;
+	if (link) {
+		link_read_stamp(link, packet);
+		note_call_link(link, packet);
+	}
 	if (!link || !link_handle_packet(link, packet))
 		t->events.received(t->events.data, from, packet);
 	packet_destroy(packet);
@@ -92,6 +97,7 @@
 {
 	Fescue__Packet *packet = packet_create(body);
 
+	link_stamp(link, packet);
 	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
 	packet_destroy(packet);
 }
@@ -127,6 +133,8 @@
 	g_ptr_array_remove_fast(t->all_links, link);
 	if (g_hash_table_lookup(t->links_by_peer, &link->peer) == link)
 		g_hash_table_remove(t->links_by_peer, &link->peer);
+	if (g_hash_table_lookup(t->call_links, &link->peer) == link)
+		g_hash_table_remove(t->call_links, &link->peer);
 	uv_close((uv_handle_t *)&link->tcp, link_free);
 	if (!connected)
 		t->counters->values[COUNTER_links_failed]++;
@@ -173,8 +181,10 @@
 	Fescue__Packet *packet = fescue__packet__unpack(NULL, size, bytes);
 	GHashTable *links_by_peer = link->transport->links_by_peer;
 
-	if (packet && packet->body_case == FESCUE__PACKET__BODY_HELLO)
+	if (packet && packet->body_case == FESCUE__PACKET__BODY_HELLO) {
 		link->peer = packet->hello->address;
+		link_read_stamp(link, packet);
+	}
 	packet_destroy(packet);
 	/* Answers are sent on the link on which the requests arrive. */
 	if (link->peer && !g_hash_table_contains(links_by_peer, &link->peer))
@@ -253,15 +263,16 @@
 	link->transport->counters->values[COUNTER_links_opened]++;
 }
 
-static GByteArray *create_hello(const struct transport *t)
+/* The ping after Hello is answered with the peer's clock. */
+static void link_greet(struct link *link)
 {
 	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_HELLO);
-	GByteArray *frame;
 
-	packet->hello->address = address_key(t->own);
-	frame = encode_packet(packet, FRAME_HEADER_BYTES);
+	packet->hello->address = address_key(link->transport->own);
+	link_stamp(link, packet);
+	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
 	packet_destroy(packet);
-	return frame;
+	link_send_empty(link, FESCUE__PACKET__BODY_LINK_PING);
 }
 
 static void on_connected(uv_connect_t *req, int status)
@@ -276,7 +287,7 @@
 		return;
 	}
 	link_start(link);
-	link_write(link, create_hello(link->transport));
+	link_greet(link);
 	while ((frame = g_queue_pop_head(&link->unsent)))
 		link_write(link, frame);
 }
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -3,6 +3,7 @@
 #define FESCUE_TRANSPORT_STATE_H
 
 #include "fescue/header_codec.h"
+#include "peer_clock.h"
 #include "transport.h"
 
 #define READ_BUFFER_BYTES 65536
@@ -20,6 +21,9 @@
 	uint64_t last_send_ms; /* initially the time of creation */
 	uint64_t last_receive_ms;
 	uint64_t ping_sent_ms; /* 0: no ping is unanswered */
+	struct peer_clock peer_clock;
+	int has_news; /* a packet has told when it was sent */
+	uint32_t news_ms; /* all that the peer sent by then has arrived */
 	GByteArray *input;
 	GQueue unsent; /* GByteArray, frames queued until connected */
 	struct header_encoder *encoder;
@@ -34,6 +38,7 @@
 	uv_udp_t udp;
 	uv_tcp_t listener;
 	GHashTable *links_by_peer; /* uint64_t -> struct link to send on */
+	GHashTable *call_links; /* uint64_t -> struct link of the peer's calls */
 	GPtrArray *all_links; /* every link that is not closed */
 	char buffer[READ_BUFFER_BYTES];
 	int stopped;
@@ -71,4 +76,18 @@
 /* Send a packet without content. */
 void link_send_empty(struct link *link, Fescue__Packet__BodyCase body);
 
+/* The clock by which packets tell when they were sent. */
+uint32_t link_clock_ms(void);
+
+/*
+ * Tell what the receiver needs: by its own clock, when a call was sent, and for
+ * that, in answers and in the first packets of a link, the clock here.
+ */
+void link_stamp(const struct link *link, Fescue__Packet *packet);
+
+void link_read_stamp(struct link *link, const Fescue__Packet *packet);
+
+/* The link on which a peer sends calls also carries its cancels. */
+void note_call_link(struct link *link, const Fescue__Packet *packet);
+
 #endif
