transport: time in which the own loop stands still does not count for peers

Callers saw retries and half a second of delay: a node whose event loop had stood still for a second closed its links with healthy hosts when it woke, and queried or rerouted the calls on them.

The check of the links runs as a timer, before the input that has waited is read.

The time between two checks beyond 150 ms is now added to the times from which a link's silence is counted, so a peer always has the full time of a running loop. transport.own_stall_does_not_close_links failed before; a peer that is silent while the loop runs is still detected (transport.silent_peer_closes_links).

--- a/src/transport_check.c
+++ b/src/transport_check.c
@@ -13,6 +13,32 @@
 #define PING_AFTER_MS 400
 /* Enough for a slow peer, so that only a frozen or partitioned one fails. */
 #define PING_TIMEOUT_MS 1000
+/* transport_check_links() is called more often, unless the loop stands still. */
+#define CHECK_INTERVAL_MAX_MS 150
+
+/*
+ * What arrived while this loop stood still is read after this check, so that
+ * time does not count for the peers.
+ */
+static void forgive_stall(struct transport *t, uint64_t now)
+{
+	uint64_t interval = now - t->checked_ms, stall;
+
+	if (!t->checked_ms || interval <= CHECK_INTERVAL_MAX_MS) {
+		t->checked_ms = now;
+		return;
+	}
+	t->checked_ms = now;
+	stall = interval - CHECK_INTERVAL_MAX_MS;
+	for (guint i = 0; i < t->all_links->len; i++) {
+		struct link *link = g_ptr_array_index(t->all_links, i);
+
+		link->last_receive_ms = MIN(link->last_receive_ms + stall, now);
+		if (link->ping_sent_ms)
+			link->ping_sent_ms =
+				MIN(link->ping_sent_ms + stall, now);
+	}
+}
 
 static void check_link_liveness(struct link *link, uint64_t now)
 {
@@ -35,6 +61,7 @@
 {
 	uint64_t now = uv_now(t->loop);
 
+	forgive_stall(t, now);
 	for (guint i = t->all_links->len; i-- > 0;) {
 		struct link *link = g_ptr_array_index(t->all_links, i);
 		uint64_t limit = link->state == LINK_CONNECTING ?
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -40,6 +40,7 @@
 	GHashTable *links_by_peer; /* uint64_t -> struct link to send on */
 	GHashTable *call_links; /* uint64_t -> struct link of the peer's calls */
 	GPtrArray *all_links; /* every link that is not closed */
+	uint64_t checked_ms; /* last transport_check_links(); 0: none */
 	char buffer[READ_BUFFER_BYTES];
 	int stopped;
 };
