transport: sends do not extend the time that a link may take to connect

Callers waited for hosts that were gone: calls to one queued on its link, and each call started the 400 ms anew in which a link must connect.

The time now counts from the start of the connecting. transport.steady_sends_do_not_extend_the_time_to_connect failed before.

--- a/src/transport_check.c
+++ b/src/transport_check.c
@@ -40,6 +40,13 @@
 	}
 }
 
+static int is_unused(const struct link *link, uint64_t now, uint64_t idle_ms)
+{
+	if (link->state == LINK_CONNECTING)
+		return now > link->opened_ms + CONNECT_TIMEOUT_MS;
+	return now > MAX(link->last_send_ms, link->last_receive_ms) + idle_ms;
+}
+
 static void check_link_liveness(struct link *link, uint64_t now)
 {
 	if (link->state != LINK_OPEN || !link->peer)
@@ -64,12 +71,8 @@
 	forgive_stall(t, now);
 	for (guint i = t->all_links->len; i-- > 0;) {
 		struct link *link = g_ptr_array_index(t->all_links, i);
-		uint64_t limit = link->state == LINK_CONNECTING ?
-					 CONNECT_TIMEOUT_MS :
-					 idle_ms;
 
-		if (now >
-		    MAX(link->last_send_ms, link->last_receive_ms) + limit)
+		if (is_unused(link, now, idle_ms))
 			link_close(link);
 		else
 			check_link_liveness(link, now);
--- a/src/transport_link.c
+++ b/src/transport_link.c
@@ -243,7 +243,7 @@
 	struct link *link = g_new0(struct link, 1);
 
 	link->transport = t;
-	link->last_send_ms = uv_now(t->loop);
+	link->opened_ms = link->last_send_ms = uv_now(t->loop);
 	link->input = g_byte_array_new();
 	link->encoder = header_encoder_create();
 	link->decoder = header_decoder_create();
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -18,6 +18,7 @@
 	uv_connect_t connect;
 	uint64_t peer; /* 0 until an accepted link has received Hello */
 	enum link_state state;
+	uint64_t opened_ms; /* when it was created */
 	uint64_t last_send_ms; /* initially the time of creation */
 	uint64_t last_receive_ms;
 	uint64_t ping_sent_ms; /* 0: no ping is unanswered */
--- a/test/test_transport.cc
+++ b/test/test_transport.cc
@@ -155,6 +155,38 @@
 	EXPECT_EQ(transport_news_age_ms(b.transport, a.key()), UINT32_MAX);
 }
 
+/* Guards against calls that wait on and on for a host that is gone. */
+TEST(transport, steady_sends_do_not_extend_the_time_to_connect)
+{
+	side a;
+	struct sockaddr_in in = {};
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct address silent = { 0x7f000001, 17799 };
+	std::vector<int> fillers;
+	uint64_t start = boot_clock_ms();
+
+	/* A listener whose queue is full, so that no connection opens. */
+	in.sin_family = AF_INET;
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	in.sin_port = htons(silent.port);
+	ASSERT_EQ(bind(listener, (struct sockaddr *)&in, sizeof(in)), 0);
+	listen(listener, 0);
+	for (int i = 0; i < 3; i++) {
+		fillers.push_back(
+			socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+		connect(fillers.back(), (struct sockaddr *)&in, sizeof(in));
+	}
+	for (uint64_t id = 1; a.closed.empty() && id < 60; id++) {
+		a.send_call(address_key(silent), id);
+		run_for({ &a }, 50);
+	}
+	EXPECT_EQ(a.closed, std::vector<int>{ 0 });
+	EXPECT_LT(boot_clock_ms() - start, 1000u);
+	for (int fd : fillers)
+		close(fd);
+	close(listener);
+}
+
 /* Guards against a stall of a node's own that counts as silence of its peers. */
 TEST(transport, own_stall_does_not_close_links)
 {
