transport: calls wait until the peer of a new link is heard

Calls queued while a link was connecting went out together with their cancels, and the first call on a link could not tell its age, as the clock of the peer was not known yet.

Hello is followed by a ping, and packets wait for its answer, which brings the peer's clock; so the first call tells its age as well. A call that is canceled before that is dropped, with its cancel. The wait is limited by the time to connect; nothing was sent on a link that fails meanwhile, so its calls go elsewhere as before. Links with nodes that tell no clock open with the same ping.

--- a/src/node.c
+++ b/src/node.c
@@ -474,7 +474,11 @@
 static int open_sockets(struct node *node)
 {
 	const struct node_settings *s = &node->settings;
-	struct transport_events events = { on_packet, on_link_closed, node };
+	struct transport_events events = {
+		.received = on_packet,
+		.link_closed = on_link_closed,
+		.data = node,
+	};
 	struct address operator_address = { s->operator_address,
 					    (uint16_t)s->operator_port };
 	int error = transport_create(node->loop, node->peer_address, &events,
--- a/src/transport.c
+++ b/src/transport.c
@@ -41,20 +41,18 @@
 			 enum packet_purpose purpose, Fescue__Packet *packet)
 {
 	struct link *link = g_hash_table_lookup(t->links_by_peer, &to);
-	GByteArray *frame;
 
 	if (!link)
 		link = link_open(t, to);
 	if (!link)
 		return;
-	link_encode(link, packet);
-	frame = encode_packet(packet, FRAME_HEADER_BYTES);
-	t->counters->bytes_sent[purpose] += frame->len;
+	t->counters->bytes_sent[purpose] +=
+		FRAME_HEADER_BYTES + fescue__packet__get_packed_size(packet);
 	link->last_send_ms = uv_now(t->loop);
 	if (link->state == LINK_OPEN)
-		link_write(link, frame);
+		link_write_packet(link, link_clock_ms(), packet);
 	else
-		g_queue_push_tail(&link->unsent, frame);
+		queue_unsent(link, packet);
 }
 
 void transport_send(struct transport *t, uint64_t to,
@@ -103,7 +101,7 @@
 	if (uv_accept(listener, (uv_stream_t *)&link->tcp))
 		link_close(link);
 	else
-		link_start(link);
+		link_start(link, LINK_OPEN);
 }
 
 static int bind_sockets(struct transport *t)
@@ -135,6 +133,8 @@
 	t->all_links = g_ptr_array_new();
 	uv_udp_init(loop, &t->udp);
 	uv_tcp_init(loop, &t->listener);
+	uv_check_init(loop, &t->iteration_end);
+	t->iteration_end.data = t;
 	t->udp.data = t;
 	t->listener.data = t;
 	*out = t;
@@ -149,6 +149,7 @@
 	while (t->all_links->len)
 		link_close(
 			g_ptr_array_index(t->all_links, t->all_links->len - 1));
+	uv_close((uv_handle_t *)&t->iteration_end, NULL);
 	uv_close((uv_handle_t *)&t->udp, NULL);
 	uv_close((uv_handle_t *)&t->listener, NULL);
 }
--- a/src/transport.h
+++ b/src/transport.h
@@ -27,6 +27,8 @@
 	 * no packet sent on it has reached the peer.
 	 */
 	void (*link_closed)(void *data, uint64_t peer, int connected);
+	/* A peer has answered transport_ask(), or a ping. May be NULL. */
+	void (*heard)(void *data, uint64_t peer);
 	void *data;
 };
 
@@ -41,8 +43,9 @@
 /*
  * Send a packet by UDP or TCP, depending on its size and purpose; calls always
  * use TCP. The packet stays the caller's, but the headers of a call in it are
- * replaced by their encoded form. When a link cannot be established, its
- * packets are dropped and link_closed is called.
+ * replaced by their encoded form. Packets wait until their link is connected and
+ * the peer has told its clock; a call that is canceled meanwhile is not sent. When
+ * a link cannot be established, its packets are dropped and link_closed is called.
  */
 void transport_send(struct transport *transport, uint64_t to,
 		    enum packet_purpose purpose, Fescue__Packet *packet);
@@ -55,6 +58,9 @@
 uint32_t transport_news_age_ms(const struct transport *transport,
 			       uint64_t peer);
 
+/* Ask a peer for news on the link of its calls, if there is one. */
+void transport_ask(struct transport *transport, uint64_t peer);
+
 /*
  * Check the links against the loop's time; to be called periodically. Sends a
  * ping on links with recent sends from which nothing is received, and closes
--- a/src/transport_check.c
+++ b/src/transport_check.c
@@ -5,7 +5,10 @@
 
 #include <inttypes.h>
 
-/* Round trips take milliseconds; unsent calls can go to another host. */
+/*
+ * For the connection, and again for the answer to the greeting. Round trips take
+ * milliseconds; unsent calls can go to another host.
+ */
 #define CONNECT_TIMEOUT_MS 400
 /* A link with a send this recent may have calls in flight. */
 #define ACTIVE_LINK_MS 6000
@@ -33,6 +36,7 @@
 	for (guint i = 0; i < t->all_links->len; i++) {
 		struct link *link = g_ptr_array_index(t->all_links, i);
 
+		link->opened_ms = MIN(link->opened_ms + stall, now);
 		link->last_receive_ms = MIN(link->last_receive_ms + stall, now);
 		if (link->ping_sent_ms)
 			link->ping_sent_ms =
@@ -42,7 +46,7 @@
 
 static int is_unused(const struct link *link, uint64_t now, uint64_t idle_ms)
 {
-	if (link->state == LINK_CONNECTING)
+	if (link->state != LINK_OPEN)
 		return now > link->opened_ms + CONNECT_TIMEOUT_MS;
 	return now > MAX(link->last_send_ms, link->last_receive_ms) + idle_ms;
 }
--- a/src/transport_link.c
+++ b/src/transport_link.c
@@ -49,9 +49,11 @@
 
 static int link_handle_packet(struct link *link, const Fescue__Packet *packet);
 
-void link_encode(struct link *link, Fescue__Packet *packet)
+/* now_ms: the time that the packet tells as that of its sending. */
+static void link_encode(struct link *link, uint32_t now_ms,
+			Fescue__Packet *packet)
 {
-	link_stamp(link, packet);
+	link_stamp(link, now_ms, packet);
 	if (packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST)
 		call_request_encode(link->encoder, packet->call_request);
 	else if (packet->body_case == FESCUE__PACKET__BODY_CALL_ANSWER)
@@ -93,22 +95,63 @@
 	return FESCUE_OK;
 }
 
+static void link_write(struct link *link, GByteArray *frame);
+
 void link_send_empty(struct link *link, Fescue__Packet__BodyCase body)
 {
 	Fescue__Packet *packet = packet_create(body);
 
-	link_stamp(link, packet);
+	link_stamp(link, link_clock_ms(), packet);
 	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
 	packet_destroy(packet);
 }
 
+static void unsent_free(gpointer p)
+{
+	struct unsent *unsent = p;
+
+	packet_destroy(unsent->packet);
+	g_free(unsent);
+}
+
+void link_write_packet(struct link *link, uint32_t now_ms,
+		       Fescue__Packet *packet)
+{
+	link_encode(link, now_ms, packet);
+	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
+}
+
+/* The peer's clock is known, if it tells its clock at all. */
+static void finish_greeting(struct link *link)
+{
+	struct unsent *unsent;
+
+	if (link->state != LINK_GREETING)
+		return;
+	link->state = LINK_OPEN;
+	while ((unsent = g_queue_pop_head(&link->unsent))) {
+		link_write_packet(link, unsent->queued_ms, unsent->packet);
+		unsent_free(unsent);
+	}
+}
+
 /* Handle a ping or pong of the link; returns 0 for any other packet. */
 static int link_handle_packet(struct link *link, const Fescue__Packet *packet)
 {
-	if (packet->body_case == FESCUE__PACKET__BODY_LINK_PING)
-		link_send_empty(link, FESCUE__PACKET__BODY_LINK_PONG);
-	return packet->body_case == FESCUE__PACKET__BODY_LINK_PING ||
-	       packet->body_case == FESCUE__PACKET__BODY_LINK_PONG;
+	struct transport *t = link->transport;
+
+	switch (packet->body_case) {
+	case FESCUE__PACKET__BODY_LINK_PING:
+		link_pong_later(link);
+		return 1;
+	case FESCUE__PACKET__BODY_LINK_PONG:
+		finish_greeting(link);
+		if (t->events.heard)
+			t->events.heard(t->events.data, link->peer);
+		return 1;
+	default:
+		return 0;
+	}
 }
 
 static void link_free(uv_handle_t *handle)
@@ -118,7 +161,7 @@
 	g_byte_array_free(link->input, TRUE);
 	header_encoder_destroy(link->encoder);
 	header_decoder_destroy(link->decoder);
-	g_queue_clear_full(&link->unsent, (GDestroyNotify)g_byte_array_unref);
+	g_queue_clear_full(&link->unsent, unsent_free);
 	g_free(link);
 }
 
@@ -152,7 +195,7 @@
 	g_free(write);
 }
 
-void link_write(struct link *link, GByteArray *frame)
+static void link_write(struct link *link, GByteArray *frame)
 {
 	struct write *write = g_new0(struct write, 1);
 	uv_buf_t buf = uv_buf_init((char *)frame->data, frame->len);
@@ -230,11 +273,11 @@
 	link->last_receive_ms = uv_now(link->transport->loop);
 	link->ping_sent_ms = 0;
 	g_byte_array_append(link->input, (guint8 *)buf->base, (guint)n);
-	while (link->state == LINK_OPEN &&
+	while (link->state != LINK_CLOSING &&
 	       (step = process_frame(link, link->input->data + used,
 				     link->input->len - used)))
 		used += step;
-	if (link->state == LINK_OPEN && used)
+	if (link->state != LINK_CLOSING && used)
 		g_byte_array_remove_range(link->input, 0, (guint)used);
 }
 
@@ -254,10 +297,10 @@
 	return link;
 }
 
-void link_start(struct link *link)
+void link_start(struct link *link, enum link_state state)
 {
-	link->state = LINK_OPEN;
-	link->last_receive_ms = uv_now(link->transport->loop);
+	link->state = state;
+	link->opened_ms = link->last_receive_ms = uv_now(link->transport->loop);
 	socket_options_set(&link->tcp);
 	uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read);
 	link->transport->counters->values[COUNTER_links_opened]++;
@@ -269,7 +312,7 @@
 	Fescue__Packet *packet = packet_create(FESCUE__PACKET__BODY_HELLO);
 
 	packet->hello->address = address_key(link->transport->own);
-	link_stamp(link, packet);
+	link_stamp(link, link_clock_ms(), packet);
 	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
 	packet_destroy(packet);
 	link_send_empty(link, FESCUE__PACKET__BODY_LINK_PING);
@@ -278,7 +321,6 @@
 static void on_connected(uv_connect_t *req, int status)
 {
 	struct link *link = req->data;
-	GByteArray *frame;
 
 	if (link->state == LINK_CLOSING)
 		return;
@@ -286,10 +328,8 @@
 		link_close(link);
 		return;
 	}
-	link_start(link);
+	link_start(link, LINK_GREETING);
 	link_greet(link);
-	while ((frame = g_queue_pop_head(&link->unsent)))
-		link_write(link, frame);
 }
 
 struct link *link_open(struct transport *t, uint64_t peer)
@@ -307,3 +347,37 @@
 	}
 	return link;
 }
+
+static int is_request(const struct unsent *unsent, uint64_t call_id)
+{
+	return unsent->packet->body_case == FESCUE__PACKET__BODY_CALL_REQUEST &&
+	       unsent->packet->call_request->call_id == call_id;
+}
+
+/* Removes a request that waits for its link; returns 0 if there is none. */
+static int cancel_unsent(struct link *link, const Fescue__CallCancel *cancel)
+{
+	for (GList *l = link->unsent.head; l; l = l->next) {
+		if (!is_request(l->data, cancel->call_id))
+			continue;
+		unsent_free(l->data);
+		g_queue_delete_link(&link->unsent, l);
+		return 1;
+	}
+	return 0;
+}
+
+void queue_unsent(struct link *link, const Fescue__Packet *packet)
+{
+	struct unsent *unsent;
+	size_t size;
+
+	if (packet->body_case == FESCUE__PACKET__BODY_CALL_CANCEL &&
+	    !packet->call_cancel->recall &&
+	    cancel_unsent(link, packet->call_cancel))
+		return;
+	unsent = g_new(struct unsent, 1);
+	unsent->packet = (Fescue__Packet *)message_copy(&packet->base, &size);
+	unsent->queued_ms = link_clock_ms();
+	g_queue_push_tail(&link->unsent, unsent);
+}
--- a/src/transport_news.c
+++ b/src/transport_news.c
@@ -3,15 +3,17 @@
 
 #include "events.h"
 
+/* A peer that is to tell of its calls is asked no more often. */
+#define ASK_INTERVAL_MS 50
+
 uint32_t link_clock_ms(void)
 {
 	return (uint32_t)boot_clock_ms();
 }
 
-void link_stamp(const struct link *link, Fescue__Packet *packet)
+void link_stamp(const struct link *link, uint32_t now_ms,
+		Fescue__Packet *packet)
 {
-	uint32_t now_ms = link_clock_ms();
-
 	packet->clock_ms = packet->sent_ms = 0;
 	switch (packet->body_case) {
 	case FESCUE__PACKET__BODY_CALL_REQUEST:
@@ -63,6 +65,25 @@
 	}
 }
 
+/*
+ * A pong tells that all cancels of the time before were sent. So it is sent when
+ * all that has arrived here, such as the close of a caller's connection, is read.
+ */
+static void on_iteration_end(uv_check_t *check)
+{
+	struct transport *t = check->data;
+
+	uv_check_stop(check);
+	for (guint i = 0; i < t->all_links->len; i++) {
+		struct link *link = g_ptr_array_index(t->all_links, i);
+
+		if (!link->pong_due)
+			continue;
+		link->pong_due = 0;
+		link_send_empty(link, FESCUE__PACKET__BODY_LINK_PONG);
+	}
+}
+
 uint32_t transport_news_age_ms(const struct transport *t, uint64_t peer)
 {
 	const struct link *link = g_hash_table_lookup(t->call_links, &peer);
@@ -73,3 +94,20 @@
 		       clock_elapsed_ms(link->news_ms, link_clock_ms()) :
 		       0;
 }
+
+void transport_ask(struct transport *t, uint64_t peer)
+{
+	struct link *link = g_hash_table_lookup(t->call_links, &peer);
+	uint64_t now = uv_now(t->loop);
+
+	if (!link || (link->asked_ms && now < link->asked_ms + ASK_INTERVAL_MS))
+		return;
+	link->asked_ms = now;
+	link_send_empty(link, FESCUE__PACKET__BODY_LINK_PING);
+}
+
+void link_pong_later(struct link *link)
+{
+	link->pong_due = 1;
+	uv_check_start(&link->transport->iteration_end, on_iteration_end);
+}
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -9,7 +9,18 @@
 #define READ_BUFFER_BYTES 65536
 #define FRAME_HEADER_BYTES 4
 
-enum link_state { LINK_CONNECTING, LINK_OPEN, LINK_CLOSING };
+enum link_state {
+	LINK_CONNECTING,
+	LINK_GREETING, /* waits for the peer's clock; no packet was sent */
+	LINK_OPEN,
+	LINK_CLOSING
+};
+
+/* A packet that waits until its link is open. */
+struct unsent {
+	Fescue__Packet *packet;
+	uint32_t queued_ms; /* by link_clock_ms() */
+};
 
 /* One TCP connection with a peer, in either direction. */
 struct link {
@@ -18,15 +29,17 @@
 	uv_connect_t connect;
 	uint64_t peer; /* 0 until an accepted link has received Hello */
 	enum link_state state;
-	uint64_t opened_ms; /* when it was created */
+	uint64_t opened_ms; /* start of the connecting, then of the greeting */
 	uint64_t last_send_ms; /* initially the time of creation */
 	uint64_t last_receive_ms;
 	uint64_t ping_sent_ms; /* 0: no ping is unanswered */
+	uint64_t asked_ms; /* last ping by transport_ask() */
+	int pong_due; /* at the end of the event loop iteration */
 	struct peer_clock peer_clock;
 	int has_news; /* a packet has told when it was sent */
 	uint32_t news_ms; /* all that the peer sent by then has arrived */
 	GByteArray *input;
-	GQueue unsent; /* GByteArray, frames queued until connected */
+	GQueue unsent; /* struct unsent, until the link is open */
 	struct header_encoder *encoder;
 	struct header_decoder *decoder;
 };
@@ -41,6 +54,7 @@
 	GHashTable *links_by_peer; /* uint64_t -> struct link to send on */
 	GHashTable *call_links; /* uint64_t -> struct link of the peer's calls */
 	GPtrArray *all_links; /* every link that is not closed */
+	uv_check_t iteration_end; /* runs after the I/O of an iteration */
 	uint64_t checked_ms; /* last transport_check_links(); 0: none */
 	char buffer[READ_BUFFER_BYTES];
 	int stopped;
@@ -64,16 +78,20 @@
 struct link *link_create(struct transport *transport);
 
 /* Read from a link that is connected. */
-void link_start(struct link *link);
+void link_start(struct link *link, enum link_state state);
 
 /* Close a link and report it; no effect on one that is closing. */
 void link_close(struct link *link);
 
-/* Compress the headers of a call in a packet that is sent on the link. */
-void link_encode(struct link *link, Fescue__Packet *packet);
+/*
+ * Send a packet on an open link. now_ms is the time that it tells as that of its
+ * sending, by link_clock_ms().
+ */
+void link_write_packet(struct link *link, uint32_t now_ms,
+		       Fescue__Packet *packet);
 
-/* Send a frame, which is released afterwards. */
-void link_write(struct link *link, GByteArray *frame);
+/* Keep a copy of a packet until the link is open, or drop what it cancels. */
+void queue_unsent(struct link *link, const Fescue__Packet *packet);
 
 /* Send a packet without content. */
 void link_send_empty(struct link *link, Fescue__Packet__BodyCase body);
@@ -85,11 +103,15 @@
  * Tell what the receiver needs: by its own clock, when a call was sent, and for
  * that, in answers and in the first packets of a link, the clock here.
  */
-void link_stamp(const struct link *link, Fescue__Packet *packet);
+void link_stamp(const struct link *link, uint32_t now_ms,
+		Fescue__Packet *packet);
 
 void link_read_stamp(struct link *link, const Fescue__Packet *packet);
 
 /* The link on which a peer sends calls also carries its cancels. */
 void note_call_link(struct link *link, const Fescue__Packet *packet);
 
+/* Answer a ping at the end of the event loop iteration. */
+void link_pong_later(struct link *link);
+
 #endif
--- a/test/test_transport.cc
+++ b/test/test_transport.cc
@@ -155,6 +155,49 @@
 	EXPECT_EQ(transport_news_age_ms(b.transport, a.key()), UINT32_MAX);
 }
 
+TEST(transport, peer_that_is_asked_tells_how_it_is)
+{
+	side a, b;
+
+	open_link(a, b);
+	run_for({ &a, &b }, 300);
+	transport_ask(b.transport, a.key());
+	run_for({ &b }, 200);
+	EXPECT_GE(transport_news_age_ms(b.transport, a.key()), 200u);
+	run_for({ &a, &b }, 60);
+	EXPECT_LT(transport_news_age_ms(b.transport, a.key()), 200u);
+}
+
+/* Guards against calls that are sent when their link opens, late and canceled. */
+TEST(transport, calls_canceled_before_their_link_opens_are_not_sent)
+{
+	side a, b;
+
+	a.send_call(b.key(), 1);
+	a.send_call(b.key(), 2);
+	a.send_cancel(b.key(), 1);
+	run_for({ &a }, 100);
+	a.send_cancel(b.key(), 2);
+	a.send_call(b.key(), 3);
+	run_for({ &a, &b }, 100);
+	EXPECT_EQ(b.received,
+		  std::vector<int>{ FESCUE__PACKET__BODY_CALL_REQUEST });
+	EXPECT_LT(b.news_ms[0], 300u);
+}
+
+/* Guards against a first call of a link that does not tell its age. */
+TEST(transport, first_call_waits_until_the_peer_is_heard)
+{
+	side a, b;
+
+	a.send_call(b.key(), 1);
+	run_for({ &a }, 250);
+	EXPECT_TRUE(b.received.empty());
+	run_for({ &a, &b }, 50);
+	ASSERT_EQ(b.news_ms.size(), 1u);
+	EXPECT_GE(b.news_ms[0], 240u);
+}
+
 /* Guards against calls that wait on and on for a host that is gone. */
 TEST(transport, steady_sends_do_not_extend_the_time_to_connect)
 {
