backend server: a call starts only if its node was heard just before

The callers' nodes had sent cancels in time, but a late link or a loop that stood still delivered request and cancel a second later, in two iterations, or the cancel while a slot became free for the queued call. A request tells how much time is left, not when that was, so its host started it, and with a deadline that began anew.

A start is a decision on what is known of the caller, and that knowledge has an age now. A call starts only if everything that its node sent until 0.25 s ago has arrived. Else it holds its slot and the node is asked; its answer comes behind its cancels, and after all input of its own was read. Without an answer in 0.25 s the call is refused as not run. Time on the way counts for the deadline, the latency target and the wait for a slot.

Six tests on the simulated clock, one a leg (link, queue, broken link, silent node, deadline, recall), failed before: test_backend_server.

--- a/fescue/admission.h
+++ b/fescue/admission.h
@@ -97,6 +97,9 @@
 void admission_finish(struct admission *admission, uint32_t kind,
 		      uint32_t depth, uint64_t service_us);
 
+/* As admission_finish(), for a call that did not run. */
+void admission_release(struct admission *admission, uint32_t depth);
+
 /*
  * Removes the next call that leaves the queue and stores its ticket:
  * ADMISSION_ADMITTED if it now holds a slot, ADMISSION_REFUSED if it can no
--- a/src/admission.c
+++ b/src/admission.c
@@ -351,12 +351,17 @@
 	return ADMISSION_QUEUED;
 }
 
-void admission_finish(struct admission *a, uint32_t kind, uint32_t depth,
-		      uint64_t service_us)
+void admission_release(struct admission *a, uint32_t depth)
 {
 	assert(a->in_use > 0 && a->in_use_by_depth[depth_index(depth)] > 0);
 	a->in_use--;
 	a->in_use_by_depth[depth_index(depth)]--;
+}
+
+void admission_finish(struct admission *a, uint32_t kind, uint32_t depth,
+		      uint64_t service_us)
+{
+	admission_release(a, depth);
 	if (a->service_us == 0)
 		a->service_us = (double)service_us;
 	a->service_us +=
--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -137,6 +137,14 @@
 	}
 }
 
+/* The times in a request were left when it was sent. */
+static void subtract_age(Fescue__CallRequest *request, uint32_t age_ms)
+{
+	request->deadline_ms -= MIN(request->deadline_ms, age_ms);
+	request->latency_ms -= MIN(request->latency_ms, age_ms);
+	request->queue_ms -= MIN(request->queue_ms, age_ms);
+}
+
 /*
  * Requests are admitted only after all packets of an event loop iteration have
  * been read: after a stall of the link, a request and its cancel can arrive
@@ -151,6 +159,7 @@
 	r->arrived_us = monotonic_clock_us();
 	r->age_ms = node_context_news_age_ms(b->context, from);
 	r->request = request;
+	subtract_age(request, r->age_ms);
 	g_queue_push_tail(&b->received, r);
 	uv_check_start(&b->iteration_end, on_iteration_end);
 }
@@ -288,16 +297,16 @@
 	return tickets;
 }
 
-static void refuse_queued(struct backend_server *b, uint64_t ticket,
-			  const char *reason)
+static void refuse_waiting(struct backend_server *b, uint64_t ticket,
+			   const char *reason)
 {
 	struct inbound_call *c = g_hash_table_lookup(b->inbound_calls, &ticket);
 
-	if (!c || c->state != INBOUND_CALL_QUEUED)
+	if (!c || (c->state != INBOUND_CALL_QUEUED &&
+		   c->state != INBOUND_CALL_UNCONFIRMED))
 		return;
-	admission_cancel(b->admission, ticket);
 	backend_refuse(b, c->from, c->request, c->arrived_us, reason);
-	g_hash_table_remove(b->inbound_calls, &ticket);
+	inbound_call_release(c);
 }
 
 void backend_refuse_queued(struct backend_server *b, const char *reason)
@@ -305,7 +314,7 @@
 	GArray *tickets = copy_tickets(b);
 
 	for (guint i = 0; i < tickets->len; i++)
-		refuse_queued(b, g_array_index(tickets, uint64_t, i), reason);
+		refuse_waiting(b, g_array_index(tickets, uint64_t, i), reason);
 	g_array_free(tickets, TRUE);
 }
 
@@ -316,7 +325,7 @@
 	GList *entry = find_received(b, from, call_id);
 
 	if (c)
-		refuse_queued(b, c->ticket, "its node stops");
+		refuse_waiting(b, c->ticket, "its node stops");
 	if (entry) {
 		const struct received_request *r = entry->data;
 
@@ -326,6 +335,28 @@
 	}
 }
 
+void backend_confirm_calls(struct backend_server *b, uint64_t from)
+{
+	GArray *tickets = copy_tickets(b);
+
+	for (guint i = 0; i < tickets->len; i++) {
+		uint64_t ticket = g_array_index(tickets, uint64_t, i);
+		struct inbound_call *c =
+			g_hash_table_lookup(b->inbound_calls, &ticket);
+
+		if (c && c->state == INBOUND_CALL_UNCONFIRMED &&
+		    (!from || c->from == from))
+			inbound_call_confirm(c);
+	}
+	g_array_free(tickets, TRUE);
+}
+
+void backend_server_peer_heard(struct backend_server *b, uint64_t peer)
+{
+	if (b->unconfirmed_count)
+		backend_confirm_calls(b, peer);
+}
+
 void backend_expire_orphans(struct backend_server *b)
 {
 	GArray *tickets = copy_tickets(b);
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -17,6 +17,13 @@
  * longer, because the backend server may be closing it.
  */
 #define NON_IDEMPOTENT_IDLE_MAX_MS 2000
+/*
+ * A call starts only if all cancels that its node sent by this time before have
+ * arrived. A backend server must not get calls whose callers left 0.5 s ago.
+ */
+#define NEWS_AGE_MAX_MS 250
+/* In which a node that runs answers, and its link is not broken. */
+#define CONFIRM_TIMEOUT_MS 250
 /* A call that starts sooner after its arrival has no line for its start. */
 #define LOGGED_HOLD_MS 10
 
@@ -80,7 +87,7 @@
 
 static void process_queue(struct backend_server *b);
 
-void inbound_call_end(struct inbound_call *c)
+void inbound_call_release(struct inbound_call *c)
 {
 	struct backend_server *b = c->backend;
 	uint64_t service_us = monotonic_clock_us() - c->started_us;
@@ -90,6 +97,10 @@
 	case INBOUND_CALL_QUEUED:
 		admission_cancel(b->admission, c->ticket);
 		break;
+	case INBOUND_CALL_UNCONFIRMED:
+		b->unconfirmed_count--;
+		admission_release(b->admission, c->request->depth);
+		break;
 	case INBOUND_CALL_RUNNING:
 	case INBOUND_CALL_REPORTING:
 		admission_finish(b->admission, c->request->kind,
@@ -99,6 +110,13 @@
 		break;
 	}
 	g_hash_table_remove(b->inbound_calls, &c->ticket);
+}
+
+void inbound_call_end(struct inbound_call *c)
+{
+	struct backend_server *b = c->backend;
+
+	inbound_call_release(c);
 	process_queue(b);
 }
 
@@ -292,12 +310,49 @@
 	inbound_call_end(c);
 }
 
+static int is_unconfirmed(const struct inbound_call *c)
+{
+	return node_context_news_age_ms(c->backend->context, c->from) >
+	       NEWS_AGE_MAX_MS;
+}
+
+static void await_confirmation(struct inbound_call *c)
+{
+	struct backend_server *b = c->backend;
+
+	c->state = INBOUND_CALL_UNCONFIRMED;
+	c->confirm_until_ms = backend_now_ms(b) + CONFIRM_TIMEOUT_MS;
+	b->unconfirmed_count++;
+	backend_increment_counter(b, COUNTER_served_unconfirmed);
+	node_context_ask(b->context, c->from);
+}
+
+void inbound_call_confirm(struct inbound_call *c)
+{
+	struct backend_server *b = c->backend;
+
+	if (!is_unconfirmed(c)) {
+		b->unconfirmed_count--;
+		inbound_call_begin(c);
+	} else if (backend_now_ms(b) >= c->confirm_until_ms) {
+		backend_refuse(b, c->from, c->request, c->arrived_us,
+			       "its node is not heard");
+		inbound_call_end(c);
+	} else {
+		node_context_ask(b->context, c->from);
+	}
+}
+
 void inbound_call_begin(struct inbound_call *c)
 {
 	struct backend_server *b = c->backend;
 
 	c->state = INBOUND_CALL_RUNNING;
 	c->started_us = monotonic_clock_us();
+	if (b->pool && is_unconfirmed(c)) {
+		await_confirmation(c);
+		return;
+	}
 	histogram_record(
 		&b->context->counters->admission_delay_us[backend_request_class(
 			c->request)],
@@ -498,6 +553,8 @@
 		publish_status(b);
 	}
 	backend_expire_orphans(b);
+	if (b->unconfirmed_count)
+		backend_confirm_calls(b, 0);
 	answer_cache_expire(b->answers, backend_now_ms(b));
 	process_queue(b);
 }
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -77,8 +77,10 @@
 
 /*
  * Receives a call request from a node, perhaps this one, given by its address
- * key. Admission follows at the end of the event loop iteration. Takes
- * ownership of the request.
+ * key. Admission follows at the end of the event loop iteration. The call starts
+ * only when its node was heard within the last 0.25 s, so that a cancel is not
+ * overtaken by the start; until then it is held, and refused after a further
+ * 0.25 s. Takes ownership of the request.
  */
 void backend_server_call(struct backend_server *backend, uint64_t from,
 			 Fescue__CallRequest *request);
@@ -107,6 +109,9 @@
 void backend_server_query(struct backend_server *backend, uint64_t from,
 			  uint64_t call_id, uint64_t epoch);
 
+/* A node has told that its cancels of the time before were sent. */
+void backend_server_peer_heard(struct backend_server *backend, uint64_t peer);
+
 /*
  * The link to a node was lost. Its calls are canceled, as by
  * backend_server_cancel(), unless it queries them within 2.5 s.
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -11,6 +11,7 @@
 
 enum inbound_call_state {
 	INBOUND_CALL_QUEUED,
+	INBOUND_CALL_UNCONFIRMED, /* holds a slot until its node is heard */
 	INBOUND_CALL_RUNNING, /* holds a slot */
 	INBOUND_CALL_REPORTING, /* holds a slot while its crash is reported */
 };
@@ -26,6 +27,7 @@
 	uint64_t arrived_us;
 	uint64_t started_us;
 	uint64_t orphaned_at_ms; /* when its node disconnected, or 0 */
+	uint64_t confirm_until_ms; /* refused if it is unconfirmed by then */
 	struct http_call *http;
 	uint64_t fingerprint;
 	Fescue__Packet *answer; /* set once the backend server call has ended */
@@ -44,6 +46,7 @@
 	int awaiting_leaving; /* see struct backend_server_settings */
 	int unreachable; /* connections fail; cleared by the next heartbeat */
 	int draining; /* the node itself is stopping */
+	uint32_t unconfirmed_count; /* calls in this state */
 	uint64_t next_ticket;
 	GQueue received; /* struct received_request, not yet processed */
 	uv_check_t iteration_end; /* runs after the I/O of an iteration */
@@ -92,9 +95,18 @@
  */
 void inbound_call_begin(struct inbound_call *call);
 
+/*
+ * Starts an unconfirmed call if its node was heard, refuses it if it has waited
+ * for too long, and asks its node otherwise.
+ */
+void inbound_call_confirm(struct inbound_call *call);
+
 /* Frees the call, releases its slot if it holds one and starts queued calls. */
 void inbound_call_end(struct inbound_call *call);
 
+/* The same without starting queued calls. */
+void inbound_call_release(struct inbound_call *call);
+
 /* Requests received in the current event loop iteration. */
 void backend_received_init(struct backend_server *backend);
 void backend_received_clear(struct backend_server *backend);
@@ -102,6 +114,9 @@
 /* Refuses all queued calls, so that their nodes reroute them. */
 void backend_refuse_queued(struct backend_server *backend, const char *reason);
 
+/* Applies inbound_call_confirm() to the unconfirmed calls of a node, 0: of all. */
+void backend_confirm_calls(struct backend_server *backend, uint64_t from);
+
 /* Cancels calls whose node has not queried them since its link was lost. */
 void backend_expire_orphans(struct backend_server *backend);
 
--- a/src/counters.h
+++ b/src/counters.h
@@ -24,6 +24,7 @@
 	X(route_withdrawn)       \
 	X(served_runs)           \
 	X(served_refused)        \
+	X(served_unconfirmed)    \
 	X(served_expired)        \
 	X(backend_failures)      \
 	X(call_queries)          \
--- a/src/node.c
+++ b/src/node.c
@@ -197,6 +197,20 @@
 	return transport_news_age_ms(node->transport, peer);
 }
 
+static void ask_peer(void *data, uint64_t peer)
+{
+	const struct node *node = data;
+
+	transport_ask(node->transport, peer);
+}
+
+static void on_peer_heard(void *data, uint64_t peer)
+{
+	const struct node *node = data;
+
+	backend_server_peer_heard(node->backend, peer);
+}
+
 static void on_backend_changed(void *data, const struct backend_status *status)
 {
 	struct node *node = data;
@@ -449,6 +463,7 @@
 		.epoch = self.epoch,
 		.send = send_packet,
 		.news_age_ms = news_age_ms,
+		.ask = ask_peer,
 		.data = node,
 	};
 	node->membership = membership_create(&s->membership, &self, seed,
@@ -477,6 +492,7 @@
 	struct transport_events events = {
 		.received = on_packet,
 		.link_closed = on_link_closed,
+		.heard = on_peer_heard,
 		.data = node,
 	};
 	struct address operator_address = { s->operator_address,
--- a/src/node_context.h
+++ b/src/node_context.h
@@ -27,6 +27,8 @@
 	void (*send)(void *data, uint64_t to, Fescue__Packet *packet);
 	/* See transport_news_age_ms(). NULL: peers do not tell. */
 	uint32_t (*news_age_ms)(void *data, uint64_t peer);
+	/* See transport_ask(); may be NULL. */
+	void (*ask)(void *data, uint64_t peer);
 	void *data; /* first argument of the callbacks */
 };
 
@@ -45,6 +47,14 @@
 	return context->news_age_ms(context->data, peer);
 }
 
+/* Has a peer tell news of its calls and cancels. */
+static inline void node_context_ask(const struct node_context *context,
+				    uint64_t peer)
+{
+	if (context->ask)
+		context->ask(context->data, peer);
+}
+
 /* Clock for deadlines and timeouts; includes host suspensions. */
 static inline uint64_t node_context_now_ms(const struct node_context *context)
 {
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -5,6 +5,7 @@
 #include "scripted_peer.h"
 
 #include <csignal>
+#include <map>
 
 extern "C" {
 #include "backend_server.h"
@@ -25,6 +26,7 @@
 	struct crash_reports *crashes;
 	struct backend_server *backend;
 	std::vector<Fescue__Packet *> sent;
+	std::map<uint64_t, uint32_t> news_age_ms; /* by node; 0 unless set */
 
 	explicit fixture(struct address address, uint32_t slots = 1)
 	{
@@ -47,6 +49,11 @@
 		context.send = [](void *data, uint64_t, Fescue__Packet *p) {
 			((fixture *)data)->sent.push_back(p);
 		};
+		context.news_age_ms = [](void *data, uint64_t node) {
+			auto &ages = ((fixture *)data)->news_age_ms;
+
+			return ages.count(node) ? ages[node] : 0;
+		};
 		context.data = this;
 		settings.quarantine = quarantine;
 		settings.crashes = crashes;
@@ -71,7 +78,7 @@
 	}
 	/* With a request id if request_id is set. */
 	void call(uint64_t id, uint64_t from = 7,
-		  const char *request_id = nullptr)
+		  const char *request_id = nullptr, int idempotent = 1)
 	{
 		Fescue__CallRequest *r = g_new(Fescue__CallRequest, 1);
 
@@ -92,7 +99,7 @@
 		r->deadline_ms = 5000;
 		r->queue_ms = 2500;
 		r->queue = 10;
-		r->idempotent = 1;
+		r->idempotent = idempotent;
 		backend_server_call(backend, from, r);
 	}
 	/* Runs a few event loop iterations without blocking. */
@@ -133,6 +140,118 @@
 	EXPECT_EQ(f.runs(), 1u);
 }
 
+/* A node of which nothing newer than half a second is known. */
+const uint32_t LATE_MS = 600;
+
+/* Guards against a start that overtakes a cancel on a late link or loop. */
+TEST(backend_server, late_request_does_not_start_before_its_cancel_is_read)
+{
+	for (int idempotent : { 0, 1 }) {
+		fixture f(closed_port);
+
+		f.news_age_ms[7] = LATE_MS;
+		f.call(1, 7, nullptr, idempotent);
+		f.call(2, 7, nullptr, idempotent);
+		f.run_loop();
+		EXPECT_EQ(f.runs(), 0u);
+		backend_server_cancel(f.backend, 7, 1);
+		f.news_age_ms[7] = 10;
+		backend_server_peer_heard(f.backend, 7);
+		f.run_loop();
+		EXPECT_EQ(f.runs(), 1u);
+	}
+}
+
+/* The same for a call that has waited for a slot. */
+TEST(backend_server, queued_call_does_not_start_before_its_cancel_is_read)
+{
+	scripted_peer hanging_peer({ { "", step::HANG } });
+	fixture f(hanging_peer.address);
+
+	f.call(1, 7);
+	f.call(2, 8);
+	while (hanging_peer.requests.empty())
+		f.run_loop();
+	f.news_age_ms[8] = LATE_MS;
+	backend_server_cancel(f.backend, 7, 1);
+	f.run_loop();
+	backend_server_cancel(f.backend, 8, 2);
+	f.news_age_ms[8] = 0;
+	backend_server_tick(f.backend);
+	EXPECT_EQ(f.runs(), 1u);
+	EXPECT_EQ(backend_server_in_flight(f.backend), 0u);
+}
+
+/* The same for a call whose link broke before it had a slot. */
+TEST(backend_server, call_of_a_broken_link_does_not_start)
+{
+	scripted_peer hanging_peer({ { "", step::HANG } });
+	fixture f(hanging_peer.address);
+
+	f.call(1, 7);
+	f.call(2, 8);
+	while (hanging_peer.requests.empty())
+		f.run_loop();
+	backend_server_peer_disconnected(f.backend, 8);
+	f.news_age_ms[8] = UINT32_MAX;
+	backend_server_cancel(f.backend, 7, 1);
+	for (int i = 0; i < 60; i++) {
+		f.context.suspended_ms += 50;
+		backend_server_tick(f.backend);
+	}
+	EXPECT_EQ(f.runs(), 1u);
+	EXPECT_EQ(backend_server_in_use(f.backend), 0u);
+}
+
+/* "Not run" within half a second, so that the node can send it elsewhere. */
+TEST(backend_server, call_of_a_silent_node_is_refused_and_frees_its_slot)
+{
+	fixture f(closed_port);
+
+	f.news_age_ms[7] = LATE_MS;
+	f.call(1, 7);
+	f.run_loop();
+	EXPECT_EQ(backend_server_in_use(f.backend), 1u);
+	for (int i = 0; i < 6; i++) {
+		f.context.suspended_ms += 50;
+		backend_server_tick(f.backend);
+	}
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+	EXPECT_EQ(backend_server_in_use(f.backend), 0u);
+	EXPECT_EQ(f.runs(), 0u);
+}
+
+/* Guards against a deadline that starts again when a late request is read. */
+TEST(backend_server, time_on_the_way_counts_for_the_deadline)
+{
+	fixture f(closed_port);
+
+	f.news_age_ms[7] = 5000;
+	f.call(1, 7);
+	f.run_loop();
+	f.news_age_ms[7] = 0;
+	backend_server_peer_heard(f.backend, 7);
+	f.run_loop();
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+	EXPECT_EQ(f.runs(), 0u);
+}
+
+/* Guards against a recall that leaves a held call to start later. */
+TEST(backend_server, recall_refuses_unconfirmed_calls)
+{
+	fixture f(closed_port);
+
+	f.news_age_ms[7] = LATE_MS;
+	f.call(1, 7);
+	f.run_loop();
+	backend_server_recall(f.backend, 7, 1);
+	EXPECT_EQ(f.outcomes(), std::vector<int>{ FESCUE__OUTCOME__NOT_RUN });
+	f.news_age_ms[7] = 0;
+	backend_server_tick(f.backend);
+	EXPECT_EQ(f.runs(), 0u);
+	EXPECT_EQ(backend_server_in_use(f.backend), 0u);
+}
+
 /*
  * Guards against a query that has other requests of the iteration admitted
  * before their cancels are read.
