caller: a call is not sent again once its caller has closed

A new request was checked for that already, a repeated one was not.

Each attempt after the first now looks whether the close waits unread. caller.refused_call_of_a_caller_that_left_is_not_sent_again failed before.

--- a/src/caller.c
+++ b/src/caller.c
@@ -209,6 +209,21 @@
 		c->retry_after_ms = ms;
 }
 
+static void record_left(struct call *c)
+{
+	caller_count(c->table, COUNTER_calls_canceled);
+	call_log(c, LOG_FAILURE, "caller_left", "\"attempts\":%u",
+		 c->tried_count);
+}
+
+/* The caller has left, and the event loop has not reported it yet. */
+static void abandon(struct call *c)
+{
+	record_left(c);
+	http_exchange_abort(c->exchange);
+	call_end(c);
+}
+
 /* Route the call and send it; if no host is left, fail with reason. */
 static void start_attempt(struct call *c, const char *reason)
 {
@@ -220,6 +235,10 @@
 	uint64_t host;
 	int logged;
 
+	if (c->tried_count && http_exchange_caller_left(c->exchange)) {
+		abandon(c);
+		return;
+	}
 	if (call_is_too_late(c)) {
 		finish_failed(c, c->outcome, failure_status(c->outcome),
 			      "the node stops before the call could run");
@@ -308,9 +327,7 @@
 	struct caller_table *t = c->table;
 	uint64_t host = call_last_host(c), id = c->attempt_id;
 
-	caller_count(t, COUNTER_calls_canceled);
-	call_log(c, LOG_FAILURE, "caller_left", "\"attempts\":%u",
-		 c->tried_count);
+	record_left(c);
 	call_end_attempt(c, ROUTER_CANCELED, NULL);
 	call_end(c);
 	if (id)
