--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -109,17 +109,31 @@
 	}
 }
 
+/* Whether the backend server may work on the call, or has done so. */
+static int may_run(const struct inbound_call *c)
+{
+	switch (c->state) {
+	case INBOUND_CALL_QUEUED:
+	case INBOUND_CALL_UNCONFIRMED:
+		return 0;
+	case INBOUND_CALL_RUNNING:
+		return !c->http || http_call_is_sent(c->http);
+	case INBOUND_CALL_REPORTING:
+		return 1;
+	}
+	return 1;
+}
+
 /* Ends the call, except a running one that may have side effects. */
 static void cancel_inbound_call(struct inbound_call *c)
 {
 	if (c->state == INBOUND_CALL_REPORTING ||
-	    (c->state == INBOUND_CALL_RUNNING && !c->request->idempotent))
+	    (may_run(c) && !c->request->idempotent))
 		return;
 	inbound_call_log(
 		c->backend, c->from, c->request, LOG_FAILURE, "canceled",
 		"\"running\":%d,\"held_ms\":%" PRIu64 ",\"news_ms\":%u",
-		c->state == INBOUND_CALL_RUNNING,
-		(monotonic_clock_us() - c->arrived_us) / 1000,
+		may_run(c), (monotonic_clock_us() - c->arrived_us) / 1000,
 		node_context_news_age_ms(c->backend->context, c->from));
 	inbound_call_end(c);
 }
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -427,6 +427,11 @@
 	call_release(call);
 }
 
+int http_call_is_sent(const struct http_call *call)
+{
+	return call->sent;
+}
+
 const char *http_result_header(const struct http_result *result,
 			       const char *name)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -86,6 +86,9 @@
 /* Cancel a call: close its connection without calling done. */
 void http_call_cancel(struct http_call *call);
 
+/* Whether the peer may have received the request of a call. */
+int http_call_is_sent(const struct http_call *call);
+
 /* Find a header of a result by lower-case name, or NULL. */
 const char *http_result_header(const struct http_result *result,
 			       const char *name);
--- a/test/test_backend_server.cc
+++ b/test/test_backend_server.cc
@@ -203,6 +203,27 @@
 	EXPECT_EQ(backend_server_in_use(f.backend), 0u);
 }
 
+/*
+ * Guards against calls with side effects that reach the backend server when a
+ * connection to it opens at last, though their callers have left.
+ */
+TEST(backend_server, call_that_waits_for_a_connection_can_be_canceled)
+{
+	scripted_peer peer({ { "HTTP/1.1 200 OK\r\n\r\n", step::CLOSE } });
+	fixture f(peer.address);
+
+	f.call(1, 7, nullptr, 0);
+	uv_run(f.loop, UV_RUN_NOWAIT);
+	ASSERT_EQ(f.runs(), 1u);
+	backend_server_cancel(f.backend, 7, 1);
+	EXPECT_EQ(backend_server_in_flight(f.backend), 0u);
+	f.call(2, 7, "second", 0);
+	while (peer.requests.empty())
+		f.run_loop();
+	f.run_loop();
+	EXPECT_EQ(backend_server_in_flight(f.backend), 0u);
+}
+
 /* "Not run" within half a second, so that the node can send it elsewhere. */
 TEST(backend_server, call_of_a_silent_node_is_refused_and_frees_its_slot)
 {
