distribution: encode a text once for all pushes with the same base

The last four encoded bodies are kept, by text and base. distribution.pushes_of_a_version_share_their_encoding failed with a body for each push (29 encodings, now 1).

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -197,6 +197,9 @@
  */
 size_t distribution_rank(const struct distribution *distribution);
 
+/* Returns how often a text was encoded for pushes. */
+uint64_t distribution_encodings(const struct distribution *distribution);
+
 /*
  * Returns the version that was rejected last, or 0. *diagnostic then points
  * to the first error in it and stays valid until the next rejection.
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -534,6 +534,8 @@
 	version_history_clear(&d->history);
 	version_text_clear(&d->staged);
 	g_array_free(d->pending_pushes, TRUE);
+	for (size_t i = 0; i < ENCODED_TEXTS; i++)
+		encoded_text_clear(&d->encoded[i]);
 	g_free(d);
 }
 
@@ -557,6 +559,11 @@
 	return d->rank;
 }
 
+uint64_t distribution_encodings(const struct distribution *d)
+{
+	return d->encodings;
+}
+
 uint64_t distribution_rejected_version(const struct distribution *d,
 				       const struct diagnostic **diagnostic)
 {
--- a/src/distribution_push.c
+++ b/src/distribution_push.c
@@ -12,6 +12,49 @@
 	g_array_unref(pending->subtree);
 }
 
+void encoded_text_clear(struct encoded_text *encoded)
+{
+	if (encoded->push)
+		fescue__config_push__free_unpacked(encoded->push, NULL);
+	memset(encoded, 0, sizeof(*encoded));
+}
+
+static int is_encoded(const struct encoded_text *encoded,
+		      const struct version_text *text,
+		      const struct version_text *base)
+{
+	return encoded->push && encoded->version == text->version &&
+	       encoded->hash == text->hash &&
+	       encoded->base_version == (base ? base->version : 0) &&
+	       encoded->base_hash == (base ? base->hash : 0);
+}
+
+/* The encoded text, which takes much longer to make than to send. */
+static const Fescue__ConfigPush *encode_text(struct distribution *d,
+					     const struct version_text *text,
+					     const struct version_text *base)
+{
+	struct encoded_text *encoded;
+
+	for (size_t i = 0; i < ENCODED_TEXTS; i++)
+		if (is_encoded(&d->encoded[i], text, base))
+			return d->encoded[i].push;
+	encoded = &d->encoded[d->encoded_next];
+	d->encoded_next = (d->encoded_next + 1) % ENCODED_TEXTS;
+	encoded_text_clear(encoded);
+	encoded->version = text->version;
+	encoded->hash = text->hash;
+	encoded->base_version = base ? base->version : 0;
+	encoded->base_hash = base ? base->hash : 0;
+	encoded->push = g_new(Fescue__ConfigPush, 1);
+	fescue__config_push__init(encoded->push);
+	encoded->push->version = text->version;
+	encoded->push->hash = text->hash;
+	version_text_encode(text, base, encoded->push);
+	d->encodings++;
+	return encoded->push;
+}
+
 void push_text(struct distribution *d, uint64_t to,
 	       const struct version_text *text, const struct version_text *base,
 	       const uint64_t *subtree, size_t subtree_len,
@@ -21,9 +64,8 @@
 		packet_create(FESCUE__PACKET__BODY_CONFIG_PUSH);
 	Fescue__ConfigPush *push = packet->config_push;
 
-	push->version = text->version;
-	push->hash = text->hash;
-	version_text_encode(text, d->settings.deltas ? base : NULL, push);
+	*push = *encode_text(d, text, d->settings.deltas ? base : NULL);
+	packet_set_bytes(&push->body, push->body.data, push->body.len);
 	push->n_subtree = subtree_len;
 	push->subtree = g_memdup2(subtree, subtree_len * sizeof(*subtree));
 	outbox_send(outbox, to, purpose, packet);
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -10,6 +10,19 @@
 #include "packet.h"
 #include "version_text.h"
 
+/*
+ * The body of pushes of one text, which goes to many hosts with the same base.
+ * Zero-initialized: none.
+ */
+struct encoded_text {
+	uint64_t version, hash; /* of the text */
+	uint64_t base_version, base_hash; /* of the likely base, or 0 */
+	Fescue__ConfigPush *push; /* with the fields of version_text_encode() */
+};
+
+/* Bases that the hosts of a domain are at, at the same time. */
+#define ENCODED_TEXTS 4
+
 /* A push that its receiver has not acknowledged. */
 struct pending_push {
 	uint64_t child;
@@ -60,6 +73,9 @@
 	struct version_source source; /* of the text validated last */
 	struct rules *parsed_rules; /* of the text validated last */
 	uint64_t parsed_version;
+	struct encoded_text encoded[ENCODED_TEXTS];
+	size_t encoded_next; /* the entry that is replaced next */
+	uint64_t encodings;
 	GArray *pending_pushes; /* struct pending_push */
 	uint64_t backup_push_due_ms; /* 0: no delayed push is scheduled */
 	uint64_t pushed_version; /* last one pushed in the own domain */
@@ -132,6 +148,8 @@
 
 void pending_push_clear(gpointer pending);
 
+void encoded_text_clear(struct encoded_text *encoded);
+
 /* Apply the staged text, if any: another host holds a copy. */
 void apply_staged(struct distribution *d);
 
--- a/test/test_distribution.cc
+++ b/test/test_distribution.cc
@@ -256,6 +256,23 @@
 	}
 }
 
+/* Guards against an event loop that encodes one text for each of its pushes. */
+TEST(distribution, pushes_of_a_version_share_their_encoding)
+{
+	lone_distribution host;
+	size_t pushes = 0;
+
+	host.add_peers(40);
+	host.read(5, "service s # a\n");
+	for (uint64_t now = 1000; now < 4000; now += 50)
+		distribution_tick(host.d, now, &host.outbox);
+	for (GList *l = host.outbox.queue.head; l; l = l->next)
+		pushes += ((struct outgoing *)l->data)->packet->body_case ==
+			  FESCUE__PACKET__BODY_CONFIG_PUSH;
+	EXPECT_GT(pushes, 20u);
+	EXPECT_EQ(distribution_encodings(host.d), 1u);
+}
+
 TEST(distribution, isolated_domain_catches_up)
 {
 	fleet_sim sim(4, 12, 3);
