distribution: acknowledge and forward a pushed version before parsing it

The sender of a push waits 200 ms for the acknowledgement and then takes over the hosts below.

A pushed text is now acknowledged and forwarded when it has been decoded and its hash checked, and parsed with the next action, for which the node first sends what is to be sent. The root has parsed it before it pushed it; a host that refuses it nevertheless rejects it as before.

distribution.pushes_are_acknowledged_and_forwarded_before_parsing failed before; distribution.hosts_below_frozen_ones_get_pushes_in_time still holds.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -157,8 +157,9 @@
 		       struct outbox *outbox);
 
 /*
- * Take the next action from the queue. Returns 0 if there is none. The text of
- * an action stays valid until the next call of any other function.
+ * Validate a pushed text, if one was received, and take the next action from the
+ * queue. Send the outbox before, as this takes long. Returns 0 if there is none.
+ * The text of an action stays valid until the next call of any other function.
  */
 int distribution_next_action(struct distribution *distribution,
 			     struct distribution_action *action);
--- a/src/distribution.c
+++ b/src/distribution.c
@@ -298,8 +298,9 @@
 }
 
 /*
- * Apply a pushed text if it is newer and valid. Returns 0 if this host holds
- * that version or a newer one afterwards.
+ * Take a pushed text if it is newer; it is validated with the next action, since
+ * that takes long. Returns 0 if this host holds that version or a newer one
+ * afterwards.
  */
 static int accept_push(struct distribution *d, uint64_t from,
 		       const Fescue__ConfigPush *push, uint64_t now_ms,
@@ -315,23 +316,38 @@
 		apply_staged(d); /* the sender holds a copy */
 		return FESCUE_OK;
 	}
+	if (push->version <= d->received.version)
+		return FESCUE_OK;
 	if (is_rejected(d, push->version, push->hash))
 		return FESCUE_EINVAL;
 	if (version_text_decode(&d->history, push, &text)) {
 		send_fetch(d, from, now_ms, 1, outbox);
 		return FESCUE_EMISMATCH;
 	}
-	d->source = (struct version_source){ d->fetch_peer == from ?
-						     VERSION_FROM_FETCH :
-						     VERSION_FROM_PUSH,
-					     from };
+	version_text_clear(&d->received);
+	d->received = text;
+	d->received_source = (struct version_source){
+		d->fetch_peer == from ? VERSION_FROM_FETCH : VERSION_FROM_PUSH,
+		from
+	};
+	return FESCUE_OK;
+}
+
+/* Apply the pushed text if it is valid. */
+static void process_received(struct distribution *d)
+{
+	struct version_text text = d->received;
+
+	if (!text.version)
+		return;
+	d->received = (struct version_text){ 0 };
+	d->source = d->received_source;
 	if (validate_text(d, text.version, text.bytes, text.size)) {
 		version_text_clear(&text);
-		return FESCUE_EINVAL;
+		return;
 	}
 	version_text_clear(&d->staged);
 	apply_text(d, &text);
-	return FESCUE_OK;
 }
 
 static void forward_push(struct distribution *d, const Fescue__ConfigPush *push,
@@ -347,7 +363,7 @@
 			 struct outbox *outbox)
 {
 	int from_fetch_peer = d->fetch_peer == from;
-	uint64_t previous = active_text(d)->version;
+	uint64_t previous = newest_text(d)->version;
 	int error = accept_push(d, from, push, now_ms, outbox);
 
 	if (error)
@@ -359,7 +375,7 @@
 		d->pushed_version = MAX(d->pushed_version, push->version);
 	forward_push(d, push, now_ms, outbox);
 	/* A version from another domain may be missing in this one. */
-	if (previous && active_text(d)->version > previous &&
+	if (previous && newest_text(d)->version > previous &&
 	    !is_own_domain(d, from) && !push->n_subtree)
 		push_to_domain(d, now_ms, outbox);
 }
@@ -496,8 +512,10 @@
 int distribution_next_action(struct distribution *d,
 			     struct distribution_action *action)
 {
-	struct distribution_action *next = g_queue_pop_head(&d->actions);
+	struct distribution_action *next;
 
+	process_received(d);
+	next = g_queue_pop_head(&d->actions);
 	if (!next)
 		return 0;
 	*action = *next;
@@ -533,6 +551,7 @@
 	rules_destroy(d->parsed_rules);
 	version_history_clear(&d->history);
 	version_text_clear(&d->staged);
+	version_text_clear(&d->received);
 	g_array_free(d->pending_pushes, TRUE);
 	for (size_t i = 0; i < ENCODED_TEXTS; i++)
 		encoded_text_clear(&d->encoded[i]);
--- a/src/distribution_push.c
+++ b/src/distribution_push.c
@@ -82,7 +82,7 @@
 {
 	const struct host *host = membership_find(d->membership, peer);
 	const struct version_text *previous =
-		text == &d->staged ? active_text(d) : &d->history.texts[1];
+		text == active_text(d) ? &d->history.texts[1] : active_text(d);
 
 	for (size_t i = 0; host && i < VERSION_HISTORY_TEXTS; i++)
 		if (host->version &&
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -70,6 +70,8 @@
 	uint64_t tick_ms, previous_tick_ms; /* times of the last two ticks */
 	struct version_history history; /* the first text is the active one */
 	struct version_text staged; /* validated, not yet applied */
+	struct version_text received; /* pushed, to be validated next */
+	struct version_source received_source;
 	struct version_source source; /* of the text validated last */
 	struct rules *parsed_rules; /* of the text validated last */
 	uint64_t parsed_version;
@@ -101,10 +103,12 @@
 	return &d->history.texts[0];
 }
 
-/* Text of the highest version held, active or staged. */
+/* Text of the highest version held. */
 static inline const struct version_text *
 newest_text(const struct distribution *d)
 {
+	if (d->received.version)
+		return &d->received;
 	return d->staged.version > active_text(d)->version ? &d->staged :
 							     active_text(d);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -134,6 +134,8 @@
 						  now_ms, &node->outbox);
 	distribution_receive(node->distribution, from, packet, now_ms,
 			     &node->outbox);
+	/* Acknowledge and forward a version before it is parsed. */
+	node_flush(node);
 	node_update_config(node);
 }
 
