distribution: forward a version to a host once

A host remembers to which hosts it has forwarded the version. distribution_push.version_is_forwarded_to_a_host_once failed before (4 pushes instead of 2). What a silent host does not forward is still taken over: distribution.hosts_below_frozen_ones_get_pushes_in_time.

--- a/src/distribution.c
+++ b/src/distribution.c
@@ -350,14 +350,6 @@
 	apply_text(d, &text);
 }
 
-static void forward_push(struct distribution *d, const Fescue__ConfigPush *push,
-			 uint64_t now_ms, struct outbox *outbox)
-{
-	if (push->n_subtree && newest_text(d)->version == push->version)
-		push_to_hosts(d, push->subtree, push->n_subtree, now_ms,
-			      outbox);
-}
-
 static void receive_push(struct distribution *d, uint64_t from,
 			 const Fescue__ConfigPush *push, uint64_t now_ms,
 			 struct outbox *outbox)
@@ -373,7 +365,7 @@
 	send_config_ack(from, push->version, outbox);
 	if (is_own_domain(d, from))
 		d->pushed_version = MAX(d->pushed_version, push->version);
-	forward_push(d, push, now_ms, outbox);
+	push_forward(d, push, now_ms, outbox);
 	/* A version from another domain may be missing in this one. */
 	if (previous && newest_text(d)->version > previous &&
 	    !is_own_domain(d, from) && !push->n_subtree)
@@ -535,6 +527,8 @@
 	d->pending_pushes =
 		g_array_new(FALSE, FALSE, sizeof(struct pending_push));
 	g_array_set_clear_func(d->pending_pushes, pending_push_clear);
+	d->forwarded = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					     g_free, NULL);
 	g_queue_init(&d->actions);
 	return d;
 }
@@ -553,6 +547,7 @@
 	version_text_clear(&d->staged);
 	version_text_clear(&d->received);
 	g_array_free(d->pending_pushes, TRUE);
+	g_hash_table_destroy(d->forwarded);
 	for (size_t i = 0; i < ENCODED_TEXTS; i++)
 		encoded_text_clear(&d->encoded[i]);
 	g_free(d);
--- a/src/distribution_push.c
+++ b/src/distribution_push.c
@@ -115,6 +115,27 @@
 	}
 }
 
+void push_forward(struct distribution *d, const Fescue__ConfigPush *push,
+		  uint64_t now_ms, struct outbox *outbox)
+{
+	GArray *hosts;
+
+	if (!push->n_subtree || newest_text(d)->version != push->version)
+		return;
+	if (d->forwarded_version != push->version)
+		g_hash_table_remove_all(d->forwarded);
+	d->forwarded_version = push->version;
+	hosts = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	for (size_t i = 0; i < push->n_subtree; i++)
+		if (g_hash_table_add(d->forwarded,
+				     g_memdup2(&push->subtree[i],
+					       sizeof(push->subtree[i]))))
+			g_array_append_val(hosts, push->subtree[i]);
+	push_to_hosts(d, (const uint64_t *)hosts->data, hosts->len, now_ms,
+		      outbox);
+	g_array_free(hosts, TRUE);
+}
+
 void push_to_domain(struct distribution *d, uint64_t now_ms,
 		    struct outbox *outbox)
 {
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -72,6 +72,8 @@
 	struct version_text staged; /* validated, not yet applied */
 	struct version_text received; /* pushed, to be validated next */
 	struct version_source received_source;
+	uint64_t forwarded_version; /* the last one that was forwarded */
+	GHashTable *forwarded; /* set of uint64_t: hosts it was forwarded to */
 	struct version_source source; /* of the text validated last */
 	struct rules *parsed_rules; /* of the text validated last */
 	uint64_t parsed_version;
@@ -126,6 +128,14 @@
 void push_to_hosts(struct distribution *d, const uint64_t *hosts, size_t n,
 		   uint64_t now_ms, struct outbox *outbox);
 
+/*
+ * Forward a push to the hosts of its subtree. A sender that misses the
+ * acknowledgement of the host above pushes to them as well; what was forwarded
+ * already is not forwarded again.
+ */
+void push_forward(struct distribution *d, const Fescue__ConfigPush *push,
+		  uint64_t now_ms, struct outbox *outbox);
+
 /*
  * Push the newest text to the own domain, with this host as the root of the
  * tree, unless this was done before or another host was the root.
--- a/src/node.h
+++ b/src/node.h
@@ -142,6 +142,10 @@
  */
 void node_log_hosts(struct node *node);
 
+/* Handles a packet of membership or distribution; ignores others. */
+void node_receive_control(struct node *node, uint64_t from,
+			  const Fescue__Packet *packet);
+
 /* Milliseconds since an arbitrary start, including host suspensions. */
 uint64_t node_now_ms(const struct node *node);
 
