node: read waiting input before silence is concluded from the time

Timers run before input is read, so a late tick saw acknowledgements, pongs and reports as missing that had arrived.

A tick that is more than 150 ms late is now repeated 1 ms later, after the loop has read its input.

--- a/src/node.c
+++ b/src/node.c
@@ -15,6 +15,8 @@
 #include <unistd.h>
 
 #define TICK_MS 50
+/* Timers run before input is read, so a late tick is repeated after that. */
+#define LATE_TICK_DELAY_MS 1
 #define LINK_IDLE_MS 660000
 /* Peers probed when the backend server changes; they gossip the change on. */
 #define ANNOUNCE_FAN_OUT 12
@@ -200,7 +202,10 @@
 	struct node *node = timer->data;
 	uint64_t now_ms;
 
-	node_detect_lost_time(node);
+	if (node_detect_lost_time(node)) {
+		uv_timer_start(timer, on_tick, LATE_TICK_DELAY_MS, TICK_MS);
+		return;
+	}
 	now_ms = node_now_ms(node);
 	if (membership_tick(node->membership, now_ms, &node->outbox)) {
 		log_state("the process was frozen; "
--- a/src/node.h
+++ b/src/node.h
@@ -151,8 +151,10 @@
 
 /*
  * Adds the time in which the host was suspended to the node's clock, and logs
- * that and stalls of the event loop. Call at each tick.
+ * that and stalls of the event loop. Call at each tick. Returns 1 if the loop
+ * stood still, but for so short that peers still know this node: then input
+ * that has waited is to be read before silence is concluded from the time.
  */
-void node_detect_lost_time(struct node *node);
+int node_detect_lost_time(struct node *node);
 
 #endif
--- a/src/node_clock.c
+++ b/src/node_clock.c
@@ -8,6 +8,8 @@
 
 /* A loop that stands still for longer is logged. */
 #define LOGGED_STALL_MS 400
+/* A tick that comes later after the one before is a late one. */
+#define LATE_TICK_MS 150
 /* A smaller offset is only the time between reading the two clocks. */
 #define SUSPENSION_MIN_MS 200
 
@@ -28,19 +30,17 @@
 		node->boot_offset_ms = offset_ms;
 }
 
-/* Calls, cancels and acknowledgements waited unread for the time it logs. */
-static void detect_stall(struct node *node, uint64_t now_ms)
+int node_detect_lost_time(struct node *node)
 {
-	uint64_t late_ms = now_ms - node->tick_ms;
+	uint64_t now_ms, gap_ms;
 
-	if (node->tick_ms && late_ms >= LOGGED_STALL_MS)
-		log_event(LOG_STATE, "loop_stalled", "\"ms\":%" PRIu64,
-			  late_ms);
-	node->tick_ms = now_ms;
-}
-
-void node_detect_lost_time(struct node *node)
-{
 	detect_suspension(node);
-	detect_stall(node, node_now_ms(node));
+	now_ms = node_now_ms(node);
+	gap_ms = node->tick_ms ? now_ms - node->tick_ms : 0;
+	node->tick_ms = now_ms;
+	/* Calls, cancels and acknowledgements waited unread for this time. */
+	if (gap_ms >= LOGGED_STALL_MS)
+		log_event(LOG_STATE, "loop_stalled", "\"ms\":%" PRIu64, gap_ms);
+	return gap_ms > LATE_TICK_MS &&
+	       gap_ms <= node->settings.membership.suspicion_ms;
 }
--- a/test/test_node.cc
+++ b/test/test_node.cc
@@ -245,6 +245,72 @@
 	}
 }
 
+uint64_t config_bytes_sent(const test_node *node)
+{
+	return node->node->counters.bytes_sent[PACKET_CONFIG];
+}
+
+void put_large_config(fixture &f, int version)
+{
+	std::string text =
+		"{\"version\":" + std::to_string(version) + ",\"resources\":[";
+
+	for (int i = 0; i < 1500; i++) {
+		std::string seed = std::to_string(version * 10000 + i);
+		gchar *name = g_compute_checksum_for_string(G_CHECKSUM_MD5,
+							    seed.c_str(), -1);
+
+		text += std::string(i ? "," : "") +
+			"{\"type\":\"services\",\"metadata\":{\"name\":\"" +
+			name + "\"},\"spec\":{}}";
+		g_free(name);
+	}
+	text += "]}";
+	store_standin_put(f.store, "op/config", text.data(), text.size());
+}
+
+/*
+ * Guards against a node whose event loop stood still and that pushes a version
+ * again, because it looks for the acknowledgement before it reads its input.
+ */
+TEST(node, version_is_not_pushed_again_after_a_stall)
+{
+	const uint64_t push_bytes = 20000;
+	fixture f;
+	test_node *sender = nullptr, *receiver = nullptr;
+	uint64_t sent, end;
+
+	f.peer = create_node(take_ports(1));
+	f.start_node();
+	put_large_config(f, 8); /* opens the links */
+	f.run_for(4000);
+	put_large_config(f, 9);
+	end = real_ms() + 3000;
+	while (!sender && real_ms() < end) {
+		uint64_t before[2] = { config_bytes_sent(f.node),
+				       config_bytes_sent(f.peer) };
+
+		uv_run(f.loop, UV_RUN_NOWAIT);
+		for (test_node *n : { f.node, f.peer }) {
+			uint64_t was = before[n == f.peer];
+
+			if (sender)
+				break;
+			uv_run(&n->loop, UV_RUN_NOWAIT);
+			if (config_bytes_sent(n) > was + push_bytes)
+				sender = n;
+		}
+		usleep(200);
+	}
+	ASSERT_NE(sender, nullptr);
+	receiver = sender == f.node ? f.peer : f.node;
+	sent = config_bytes_sent(sender);
+	for (end = real_ms() + 600; real_ms() < end; usleep(200))
+		uv_run(&receiver->loop, UV_RUN_NOWAIT);
+	f.run_for(100);
+	EXPECT_LT(config_bytes_sent(sender), sent + push_bytes);
+}
+
 /*
  * Guards against nodes that restart one by one while the store is down and keep
  * their backend servers out of use, though their peers know that none has left.
