transport: only calls wait until the peer of a new link is heard

Packets other than calls are sent again as soon as the link is connected, and a link that holds no call has a second to answer. transport.only_calls_wait_until_the_peer_is_heard failed before.

--- a/src/transport.c
+++ b/src/transport.c
@@ -49,7 +49,7 @@
 	t->counters->bytes_sent[purpose] +=
 		FRAME_HEADER_BYTES + fescue__packet__get_packed_size(packet);
 	link->last_send_ms = uv_now(t->loop);
-	if (link->state == LINK_OPEN)
+	if (link_takes(link, packet))
 		link_write_packet(link, link_clock_ms(), packet);
 	else
 		queue_unsent(link, packet);
--- a/src/transport.h
+++ b/src/transport.h
@@ -24,7 +24,7 @@
 	void (*received)(void *data, uint64_t from, Fescue__Packet *packet);
 	/*
 	 * A link was closed. connected is 0 if it was never established: then
-	 * no packet sent on it has reached the peer.
+	 * no call sent on it has reached the peer.
 	 */
 	void (*link_closed)(void *data, uint64_t peer, int connected);
 	/* A peer has answered transport_ask(), or a ping. May be NULL. */
@@ -43,9 +43,9 @@
 /*
  * Send a packet by UDP or TCP, depending on its size and purpose; calls always
  * use TCP. The packet stays the caller's, but the headers of a call in it are
- * replaced by their encoded form. Packets wait until their link is connected and
- * the peer has told its clock; a call that is canceled meanwhile is not sent. When
- * a link cannot be established, its packets are dropped and link_closed is called.
+ * replaced by their encoded form. Packets wait until their link is connected,
+ * calls also until the peer has told its clock; a call that is canceled meanwhile
+ * is not sent. When a link cannot be established, its packets are dropped and link_closed is called.
  */
 void transport_send(struct transport *transport, uint64_t to,
 		    enum packet_purpose purpose, Fescue__Packet *packet);
--- a/src/transport_check.c
+++ b/src/transport_check.c
@@ -46,6 +46,8 @@
 
 static int is_unused(const struct link *link, uint64_t now, uint64_t idle_ms)
 {
+	if (link->state == LINK_GREETING && !link->unsent.length)
+		return now > link->opened_ms + PING_TIMEOUT_MS;
 	if (link->state != LINK_OPEN)
 		return now > link->opened_ms + CONNECT_TIMEOUT_MS;
 	return now > MAX(link->last_send_ms, link->last_receive_ms) + idle_ms;
--- a/src/transport_link.c
+++ b/src/transport_link.c
@@ -121,18 +121,44 @@
 	link_write(link, encode_packet(packet, FRAME_HEADER_BYTES));
 }
 
+int link_takes(const struct link *link, const Fescue__Packet *packet)
+{
+	switch (link->state) {
+	case LINK_GREETING:
+		return !carries_call(packet);
+	case LINK_OPEN:
+		return 1;
+	case LINK_CONNECTING:
+	case LINK_CLOSING:
+		break;
+	}
+	return 0;
+}
+
+/* Send the packets that the link takes now; the others wait on. */
+static void send_unsent(struct link *link)
+{
+	guint remaining = g_queue_get_length(&link->unsent);
+
+	while (remaining--) {
+		struct unsent *unsent = g_queue_pop_head(&link->unsent);
+
+		if (!link_takes(link, unsent->packet)) {
+			g_queue_push_tail(&link->unsent, unsent);
+			continue;
+		}
+		link_write_packet(link, unsent->queued_ms, unsent->packet);
+		unsent_free(unsent);
+	}
+}
+
 /* The peer's clock is known, if it tells its clock at all. */
 static void finish_greeting(struct link *link)
 {
-	struct unsent *unsent;
-
 	if (link->state != LINK_GREETING)
 		return;
 	link->state = LINK_OPEN;
-	while ((unsent = g_queue_pop_head(&link->unsent))) {
-		link_write_packet(link, unsent->queued_ms, unsent->packet);
-		unsent_free(unsent);
-	}
+	send_unsent(link);
 }
 
 /* Handle a ping or pong of the link; returns 0 for any other packet. */
@@ -330,6 +356,7 @@
 	}
 	link_start(link, LINK_GREETING);
 	link_greet(link);
+	send_unsent(link);
 }
 
 struct link *link_open(struct transport *t, uint64_t peer)
--- a/src/transport_news.c
+++ b/src/transport_news.c
@@ -49,22 +49,27 @@
 	}
 }
 
-void note_call_link(struct link *link, const Fescue__Packet *packet)
+int carries_call(const Fescue__Packet *packet)
 {
-	GHashTable *links = link->transport->call_links;
-
 	switch (packet->body_case) {
 	case FESCUE__PACKET__BODY_CALL_REQUEST:
 	case FESCUE__PACKET__BODY_CALL_CANCEL:
 	case FESCUE__PACKET__BODY_CALL_QUERY:
-		if (g_hash_table_lookup(links, &link->peer) != link)
-			g_hash_table_replace(links, &link->peer, link);
-		break;
+		return 1;
 	default:
-		break;
+		return 0;
 	}
 }
 
+void note_call_link(struct link *link, const Fescue__Packet *packet)
+{
+	GHashTable *links = link->transport->call_links;
+
+	if (carries_call(packet) &&
+	    g_hash_table_lookup(links, &link->peer) != link)
+		g_hash_table_replace(links, &link->peer, link);
+}
+
 /*
  * A pong tells that all cancels of the time before were sent. So it is sent when
  * all that has arrived here, such as the close of a caller's connection, is read.
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -11,7 +11,7 @@
 
 enum link_state {
 	LINK_CONNECTING,
-	LINK_GREETING, /* waits for the peer's clock; no packet was sent */
+	LINK_GREETING, /* waits for the peer's clock; no call was sent */
 	LINK_OPEN,
 	LINK_CLOSING
 };
@@ -90,6 +90,12 @@
 void link_write_packet(struct link *link, uint32_t now_ms,
 		       Fescue__Packet *packet);
 
+/*
+ * Whether a packet can be sent on the link now. Calls wait until the peer's clock
+ * is known.
+ */
+int link_takes(const struct link *link, const Fescue__Packet *packet);
+
 /* Keep a copy of a packet until the link is open, or drop what it cancels. */
 void queue_unsent(struct link *link, const Fescue__Packet *packet);
 
@@ -108,6 +114,9 @@
 
 void link_read_stamp(struct link *link, const Fescue__Packet *packet);
 
+/* Whether a packet is a call or tells more of one to its target. */
+int carries_call(const Fescue__Packet *packet);
+
 /* The link on which a peer sends calls also carries its cancels. */
 void note_call_link(struct link *link, const Fescue__Packet *packet);
 
--- a/test/test_transport.cc
+++ b/test/test_transport.cc
@@ -198,6 +198,19 @@
 	EXPECT_GE(b.news_ms[0], 240u);
 }
 
+/* Guards against member tables and versions lost on links to slow hosts. */
+TEST(transport, only_calls_wait_until_the_peer_is_heard)
+{
+	side a, b;
+
+	a.send_answer(b.key(), 1);
+	run_for({ &a }, 700); /* b stands still */
+	run_for({ &a, &b }, 50);
+	EXPECT_EQ(b.received,
+		  std::vector<int>{ FESCUE__PACKET__BODY_CALL_ANSWER });
+	EXPECT_TRUE(a.closed.empty());
+}
+
 /* Guards against calls that wait on and on for a host that is gone. */
 TEST(transport, steady_sends_do_not_extend_the_time_to_connect)
 {
