--- a/src/caller.c
+++ b/src/caller.c
@@ -5,6 +5,7 @@
 #include "events.h"
 #include "fescue/error.h"
 #include "log.h"
+#include "timeout.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -309,8 +310,11 @@
 static void on_deadline(uv_timer_t *timer)
 {
 	struct call *c = timer->data;
-	uint64_t id = c->attempt_id;
+	uint64_t id;
 
+	if (timeout_defer(timer, on_deadline, &c->overdue))
+		return;
+	id = c->attempt_id;
 	if (id)
 		call_send_cancel(c->table, call_last_host(c), id, 0);
 	/* A cancel that this node handles itself may have ended the call. */
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -59,6 +59,7 @@
 	/* Server error to return unless a retry gets an answer, or NULL. */
 	Fescue__CallAnswer *fallback;
 	uv_timer_t timer;
+	int overdue; /* the deadline has passed; input is read once more */
 };
 
 struct caller_table {
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -2,6 +2,7 @@
 
 #include "fescue/error.h"
 #include "socket_options.h"
+#include "timeout.h"
 
 #include <glib.h>
 #include <string.h>
@@ -211,6 +212,8 @@
 {
 	struct http_call *call = timer->data;
 
+	if (!call->error && timeout_defer(timer, on_timeout, &call->overdue))
+		return;
 	call_finish(call, call->error ? call->error : FESCUE_ETIMEOUT);
 }
 
@@ -310,6 +313,7 @@
 		return;
 	}
 	socket_options_set(&conn->tcp);
+	conn->call->overdue = 0;
 	uv_timer_start(&conn->call->timer, on_timeout, conn->call->timeout_ms,
 		       0);
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
--- a/src/http_client_state.h
+++ b/src/http_client_state.h
@@ -61,6 +61,7 @@
 	void (*done)(void *data, const struct http_result *result);
 	void *data;
 	int error;
+	int overdue; /* the timeout has passed; input is read once more */
 };
 
 /* Parser callbacks for answers; the parser's data is its struct http_conn. */
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -314,6 +314,17 @@
 	EXPECT_EQ(http_pool_opened_count(c.pool), 1u);
 }
 
+/* Guards against a stall of the event loop that counts as silence of the peer. */
+TEST(http_client, answer_that_waits_unread_is_delivered_after_a_stall)
+{
+	scripted_peer peer({ { sized_answer("1", "one"), step::KEEP },
+			     { sized_answer("2", "two"), step::KEEP } });
+	client c(peer.address);
+
+	EXPECT_EQ(c.get("1", 2200000).body, "one"); /* on a new connection */
+	EXPECT_EQ(c.get("2", 2200000).body, "two");
+}
+
 /* An idle connection that the server closes is removed from the pool. */
 TEST(http_client, closed_idle_connection_is_not_reused)
 {
