backend server: a connection that opens late does not carry a stale call

A connection that took more than 100 ms to open waits until the loop has read its input, and asks then whether the call may still start; if not, it has not run, and the backend server does not count as unreachable.

--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -174,9 +174,9 @@
 static void record_backend_result(struct backend_server *b,
 				  const struct http_result *result)
 {
-	if (result->error)
+	if (result->error && result->error != FESCUE_ECANCELED)
 		backend_increment_counter(b, COUNTER_backend_failures);
-	if (result->error && !result->sent)
+	if (result->error && !result->sent && result->error != FESCUE_ECANCELED)
 		mark_unreachable(b, "connections fail");
 	else if (!result->error && result->status == 421)
 		mark_unreachable(b, "another one has its address");
@@ -258,6 +258,21 @@
 	return NULL;
 }
 
+static int is_unconfirmed(const struct inbound_call *c)
+{
+	return node_context_news_age_ms(c->backend->context, c->from) >
+	       NEWS_AGE_MAX_MS;
+}
+
+/* The connection to the backend server took long to open. */
+static int may_start(void *data)
+{
+	const struct inbound_call *c = data;
+
+	return !is_unconfirmed(c) &&
+	       backend_now_ms(c->backend) < c->deadline_ms;
+}
+
 static void send_to_backend(struct inbound_call *c)
 {
 	struct backend_server *b = c->backend;
@@ -277,6 +292,7 @@
 		.echo_name = b->context->headers->request_id,
 		.echo = backend_request_id(b, r),
 		.idle_max_ms = r->idempotent ? 0 : NON_IDEMPOTENT_IDLE_MAX_MS,
+		.may_send = may_start,
 	};
 
 	g_snprintf(remaining, sizeof(remaining), "%u", http.timeout_ms);
@@ -310,12 +326,6 @@
 	inbound_call_end(c);
 }
 
-static int is_unconfirmed(const struct inbound_call *c)
-{
-	return node_context_news_age_ms(c->backend->context, c->from) >
-	       NEWS_AGE_MAX_MS;
-}
-
 static void await_confirmation(struct inbound_call *c)
 {
 	struct backend_server *b = c->backend;
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -10,6 +10,8 @@
 
 #define READ_BUFFER_BYTES 65536
 #define CONNECT_TIMEOUT_MS 1000 /* far above any round trip between hosts */
+/* A connection that opens later finds the loop behind with its input. */
+#define CONNECT_LATE_MS 100
 #define IDLE_MAX_MS 30000 /* also for peers without a Keep-Alive timeout */
 #define IDLE_MARGIN_MS 1000 /* the peer's idle timer starts before ours */
 
@@ -302,6 +304,26 @@
 	uv_write(&conn->write, (uv_stream_t *)&conn->tcp, &buf, 1, on_written);
 }
 
+/* The call's time starts when it is connected. */
+static void start_request(struct http_conn *conn)
+{
+	struct http_call *call = conn->call;
+
+	call->overdue = 0;
+	uv_timer_start(&call->timer, on_timeout, call->timeout_ms, 0);
+	send_request(conn);
+}
+
+static void on_input_read(uv_timer_t *timer)
+{
+	struct http_call *call = timer->data;
+
+	if (call->may_send && !call->may_send(call->data))
+		call_finish(call, FESCUE_ECANCELED);
+	else
+		start_request(call->conn);
+}
+
 static void on_connected(uv_connect_t *req, int status)
 {
 	struct http_conn *conn = req->data;
@@ -313,11 +335,12 @@
 		return;
 	}
 	socket_options_set(&conn->tcp);
-	conn->call->overdue = 0;
-	uv_timer_start(&conn->call->timer, on_timeout, conn->call->timeout_ms,
-		       0);
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-	send_request(conn);
+	if (uv_now(conn->pool->loop) > conn->opened_ms + CONNECT_LATE_MS)
+		uv_timer_start(&conn->call->timer, on_input_read,
+			       TIMEOUT_INPUT_DELAY_MS, 0);
+	else
+		start_request(conn);
 }
 
 /* Pop the last used connection, unless it was idle for too long. */
@@ -353,6 +376,7 @@
 	uv_tcp_init(pool->loop, &conn->tcp);
 	conn->tcp.data = conn;
 	conn->connect.data = conn;
+	conn->opened_ms = uv_now(pool->loop);
 	if (uv_tcp_connect(&conn->connect, &conn->tcp,
 			   (struct sockaddr *)&pool->address, on_connected))
 		schedule_failure(call, FESCUE_EIO);
@@ -404,6 +428,7 @@
 	call->headers = g_array_new(FALSE, FALSE, sizeof(struct http_header));
 	g_array_set_clear_func(call->headers, header_free_texts);
 	call->done = done;
+	call->may_send = request->may_send;
 	call->data = data;
 	uv_timer_init(pool->loop, &call->timer);
 	call->timer.data = call;
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -37,6 +37,12 @@
 	const char *echo;
 	/* Don't reuse connections that were idle for longer; 0: no limit. */
 	uint32_t idle_max_ms;
+	/*
+	 * Asked, with the data of done, before the request is sent on a connection
+	 * that took long to open, when the loop has read its input. 0: the call
+	 * ends with FESCUE_ECANCELED and is not sent. NULL: it is sent.
+	 */
+	int (*may_send)(void *data);
 };
 
 struct http_result {
--- a/src/http_client_state.h
+++ b/src/http_client_state.h
@@ -30,6 +30,7 @@
 	uv_write_t write;
 	http_parser parser;
 	struct http_call *call; /* NULL while idle or closing */
+	uint64_t opened_ms;
 	uint64_t idle_since_ms;
 	uint32_t idle_limit_ms;
 	int writing;
@@ -59,6 +60,7 @@
 	GString *body;
 	int body_too_big;
 	void (*done)(void *data, const struct http_result *result);
+	int (*may_send)(void *data);
 	void *data;
 	int error;
 	int overdue; /* the timeout has passed; input is read once more */
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -325,6 +325,33 @@
 	EXPECT_EQ(c.get("2", 2200000).body, "two");
 }
 
+/* Guards against requests that go out, late, on a connection that opens late. */
+TEST(http_client, request_on_a_late_connection_is_sent_only_if_it_may_be)
+{
+	for (int allowed : { 0, 1 }) {
+		scripted_peer peer(
+			{ { sized_answer("1", "one"), step::KEEP } });
+		client c(peer.address);
+		struct http_request request = {};
+		struct answer a;
+
+		request.method = "GET";
+		request.path = "/";
+		request.timeout_ms = 2000;
+		request.may_send = allowed ? [](void *) { return 1; } :
+					     [](void *) { return 0; };
+		http_pool_send(c.pool, &request, client::on_done, &a);
+		usleep(200000); /* the event loop stands still */
+		while (!a.done)
+			uv_run(c.loop, UV_RUN_ONCE);
+		EXPECT_EQ(a.error, allowed ? FESCUE_OK : FESCUE_ECANCELED);
+		if (!allowed) {
+			EXPECT_EQ(c.get("1").body, "one");
+		}
+		EXPECT_EQ(peer.requests.size(), 1u);
+	}
+}
+
 /* An idle connection that the server closes is removed from the pool. */
 TEST(http_client, closed_idle_connection_is_not_reused)
 {
