backend server: queued calls start only when all input is read

New requests waited for the end of the iteration already.

Queued calls now start there as well, and one iteration later if the current one took more than 100 ms. The loop does not wait for input meanwhile. A pong tells the time before the input was polled, not that of its sending.

backend_server.queued_calls_start_after_all_input_is_read and queued_calls_start_after_input_of_a_long_iteration failed before.

--- a/src/backend_calls.c
+++ b/src/backend_calls.c
@@ -6,6 +6,9 @@
 #include <inttypes.h>
 #include <string.h>
 
+/* After an iteration that took longer, input is read before calls start. */
+#define ITERATION_MAX_MS 100
+#define NS_PER_MS 1000000
 /* Time for a node that lost its link to query its calls. */
 #define ORPHAN_TIMEOUT_MS 2500
 
@@ -143,12 +146,40 @@
 	struct backend_server *b = check->data;
 	struct received_request *r;
 
-	uv_check_stop(check);
-	while ((r = g_queue_pop_head(&b->received))) {
-		admit_request(b, r->from, g_steal_pointer(&r->request),
-			      r->arrived_us, r->age_ms);
-		received_request_free(r);
+	if (!b->input_awaited &&
+	    uv_hrtime() / NS_PER_MS > uv_now(check->loop) + ITERATION_MAX_MS) {
+		b->input_awaited = 1;
+		return;
 	}
+	b->input_awaited = 0;
+	do {
+		b->queue_due = 0;
+		backend_process_queue(b);
+		while ((r = g_queue_pop_head(&b->received))) {
+			admit_request(b, r->from, g_steal_pointer(&r->request),
+				      r->arrived_us, r->age_ms);
+			received_request_free(r);
+		}
+	} while (b->queue_due);
+	uv_check_stop(check);
+	uv_idle_stop(&b->no_wait);
+}
+
+static void on_idle(uv_idle_t *idle)
+{
+	(void)idle;
+}
+
+static void schedule_iteration_end(struct backend_server *b)
+{
+	uv_check_start(&b->iteration_end, on_iteration_end);
+	uv_idle_start(&b->no_wait, on_idle);
+}
+
+void backend_schedule_queue(struct backend_server *b)
+{
+	b->queue_due = 1;
+	schedule_iteration_end(b);
 }
 
 /* The times in a request were left when it was sent. */
@@ -160,9 +191,9 @@
 }
 
 /*
- * Requests are admitted only after all packets of an event loop iteration have
- * been read: after a stall of the link, a request and its cancel can arrive
- * together.
+ * Calls are admitted and started only after all input of an event loop iteration
+ * has been read: after a stall, a request and its cancel can arrive together, or
+ * a free slot and the close of a local caller.
  */
 void backend_server_call(struct backend_server *b, uint64_t from,
 			 Fescue__CallRequest *request)
@@ -175,19 +206,21 @@
 	r->request = request;
 	subtract_age(request, r->age_ms);
 	g_queue_push_tail(&b->received, r);
-	uv_check_start(&b->iteration_end, on_iteration_end);
+	schedule_iteration_end(b);
 }
 
 void backend_received_init(struct backend_server *b)
 {
 	g_queue_init(&b->received);
 	uv_check_init(b->context->loop, &b->iteration_end);
-	b->iteration_end.data = b;
+	uv_idle_init(b->context->loop, &b->no_wait);
+	b->iteration_end.data = b->no_wait.data = b;
 }
 
 void backend_received_clear(struct backend_server *b)
 {
 	uv_check_stop(&b->iteration_end);
+	uv_idle_stop(&b->no_wait);
 	g_queue_clear_full(&b->received, received_request_free);
 }
 
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -85,8 +85,6 @@
 	send_answer(b, to, packet);
 }
 
-static void process_queue(struct backend_server *b);
-
 void inbound_call_release(struct inbound_call *c)
 {
 	struct backend_server *b = c->backend;
@@ -117,7 +115,7 @@
 	struct backend_server *b = c->backend;
 
 	inbound_call_release(c);
-	process_queue(b);
+	backend_schedule_queue(b);
 }
 
 /* Sends the backend server's answer to the calling node. */
@@ -380,7 +378,7 @@
 	}
 }
 
-static void process_queue(struct backend_server *b)
+void backend_process_queue(struct backend_server *b)
 {
 	enum admission_decision decision;
 	struct inbound_call *c;
@@ -504,7 +502,7 @@
 	admission_set_slots(b->admission, effective_slots(b));
 	publish_status(b);
 	handle_leaving(b, was_leaving);
-	process_queue(b);
+	backend_schedule_queue(b);
 }
 
 void backend_server_leave(struct backend_server *b, const char *id)
@@ -566,7 +564,7 @@
 	if (b->unconfirmed_count)
 		backend_confirm_calls(b, 0);
 	answer_cache_expire(b->answers, backend_now_ms(b));
-	process_queue(b);
+	backend_process_queue(b);
 }
 
 void backend_server_drain(struct backend_server *b)
@@ -595,11 +593,18 @@
 	return b;
 }
 
-static void on_closed(uv_handle_t *handle)
+static void on_idle_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
 }
 
+static void on_check_closed(uv_handle_t *handle)
+{
+	struct backend_server *b = handle->data;
+
+	uv_close((uv_handle_t *)&b->no_wait, on_idle_closed);
+}
+
 void backend_server_destroy(struct backend_server *b)
 {
 	if (!b)
@@ -609,7 +614,7 @@
 	answer_cache_destroy(b->answers);
 	admission_destroy(b->admission);
 	http_pool_release(b->pool);
-	uv_close((uv_handle_t *)&b->iteration_end, on_closed);
+	uv_close((uv_handle_t *)&b->iteration_end, on_check_closed);
 }
 
 uint32_t backend_server_in_flight(const struct backend_server *b)
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -50,6 +50,9 @@
 	uint64_t next_ticket;
 	GQueue received; /* struct received_request, not yet processed */
 	uv_check_t iteration_end; /* runs after the I/O of an iteration */
+	uv_idle_t no_wait; /* active: the loop does not wait for I/O */
+	int queue_due; /* queued calls may start at the iteration's end */
+	int input_awaited; /* the last iteration took long, so its end waits */
 	GHashTable *inbound_calls; /* ticket -> struct inbound_call */
 };
 
@@ -107,6 +110,12 @@
 /* The same without starting queued calls. */
 void inbound_call_release(struct inbound_call *call);
 
+/* Starts queued calls that have a slot, and refuses those that expired. */
+void backend_process_queue(struct backend_server *backend);
+
+/* The same once the input of the event loop iteration is read. */
+void backend_schedule_queue(struct backend_server *backend);
+
 /* Requests received in the current event loop iteration. */
 void backend_received_init(struct backend_server *backend);
 void backend_received_clear(struct backend_server *backend);
--- a/src/transport.c
+++ b/src/transport.c
@@ -133,8 +133,7 @@
 	t->all_links = g_ptr_array_new();
 	uv_udp_init(loop, &t->udp);
 	uv_tcp_init(loop, &t->listener);
-	uv_check_init(loop, &t->iteration_end);
-	t->iteration_end.data = t;
+	transport_start_news(t);
 	t->udp.data = t;
 	t->listener.data = t;
 	*out = t;
@@ -149,7 +148,7 @@
 	while (t->all_links->len)
 		link_close(
 			g_ptr_array_index(t->all_links, t->all_links->len - 1));
-	uv_close((uv_handle_t *)&t->iteration_end, NULL);
+	transport_stop_news(t);
 	uv_close((uv_handle_t *)&t->udp, NULL);
 	uv_close((uv_handle_t *)&t->listener, NULL);
 }
--- a/src/transport_news.c
+++ b/src/transport_news.c
@@ -26,9 +26,12 @@
 		packet->clock_ms = now_ms;
 		break;
 	case FESCUE__PACKET__BODY_LINK_PING:
+		packet->clock_ms = now_ms;
+		break;
 	case FESCUE__PACKET__BODY_LINK_PONG:
 		packet->clock_ms = now_ms;
-		packet->sent_ms = peer_clock_at(&link->peer_clock, now_ms);
+		packet->sent_ms = peer_clock_at(&link->peer_clock,
+						link->transport->polled_ms);
 		break;
 	default:
 		break;
@@ -70,6 +73,28 @@
 		g_hash_table_replace(links, &link->peer, link);
 }
 
+static void on_before_poll(uv_prepare_t *prepare)
+{
+	struct transport *t = prepare->data;
+
+	t->polled_ms = link_clock_ms();
+}
+
+void transport_start_news(struct transport *t)
+{
+	t->polled_ms = link_clock_ms();
+	uv_check_init(t->loop, &t->iteration_end);
+	uv_prepare_init(t->loop, &t->before_poll);
+	t->iteration_end.data = t->before_poll.data = t;
+	uv_prepare_start(&t->before_poll, on_before_poll);
+}
+
+void transport_stop_news(struct transport *t)
+{
+	uv_close((uv_handle_t *)&t->iteration_end, NULL);
+	uv_close((uv_handle_t *)&t->before_poll, NULL);
+}
+
 /*
  * A pong tells that all cancels of the time before were sent. So it is sent when
  * all that has arrived here, such as the close of a caller's connection, is read.
--- a/src/transport_state.h
+++ b/src/transport_state.h
@@ -55,6 +55,8 @@
 	GHashTable *call_links; /* uint64_t -> struct link of the peer's calls */
 	GPtrArray *all_links; /* every link that is not closed */
 	uv_check_t iteration_end; /* runs after the I/O of an iteration */
+	uv_prepare_t before_poll;
+	uint32_t polled_ms; /* all input until then was read, at its end */
 	uint64_t checked_ms; /* last transport_check_links(); 0: none */
 	char buffer[READ_BUFFER_BYTES];
 	int stopped;
@@ -102,6 +104,10 @@
 /* Send a packet without content. */
 void link_send_empty(struct link *link, Fescue__Packet__BodyCase body);
 
+/* Follow the iterations of the event loop, for what pongs tell. */
+void transport_start_news(struct transport *transport);
+void transport_stop_news(struct transport *transport);
+
 /* The clock by which packets tell when they were sent. */
 uint32_t link_clock_ms(void);
 
