--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -85,6 +85,17 @@
 		    const Fescue__CallRequest *request, uint64_t arrived_us,
 		    const char *reason);
 
+/* Sends an answer and stores it, because another node may query it. */
+void backend_send_answer(struct backend_server *backend, uint64_t to,
+			 Fescue__Packet *packet);
+
+/* Time since a request arrived, for its answer. */
+uint32_t backend_held_us(uint64_t arrived_us);
+
+/* Counts a failed run, and notes when connections to the backend server fail. */
+void backend_record_result(struct backend_server *backend,
+			   const struct http_result *result);
+
 /* Creates a queued call. Takes ownership of the request. */
 struct inbound_call *inbound_call_create(struct backend_server *backend,
 					 uint64_t from,
--- a/src/transport_news.c
+++ b/src/transport_news.c
@@ -23,8 +23,6 @@
 		break;
 	case FESCUE__PACKET__BODY_CALL_ANSWER:
 	case FESCUE__PACKET__BODY_HELLO:
-		packet->clock_ms = now_ms;
-		break;
 	case FESCUE__PACKET__BODY_LINK_PING:
 		packet->clock_ms = now_ms;
 		break;
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -141,7 +141,8 @@
 			<< "\",\"peer_port\":7000,\"operator_port\":9000,"
 			   "\"operator_address\":\""
 			<< ip << "\",\"callers\":\"" << ip
-			<< ":8000\",\"failure_domain\":\"d"
+			<< ":8000\",\"announcements\":\"" << ip
+			<< ":7300\",\"failure_domain\":\"d"
 			<< (number - 1) % domains << "\",\"store\":\"" << ip
 			<< ":7200\",\"witness\":0,\"floor\":\"prompt\","
 			   "\"start_jitter_ms\":100,\"announce_delay_ms\":0,"
--- /dev/null
+++ b/test/test_left_callers.cc
@@ -0,0 +1,54 @@
+/*
+ * Callers that leave: no request reaches a backend server half a second after its
+ * caller has left, in calm and while nodes stand still for up to 1.5 s.
+ *
+ * FESCUE_FLEET_SEEDS runs more seeds; the nodes are FESCUE_NODE, if set.
+ */
+#include "caller_fleet.h"
+
+namespace
+{
+
+void play(uint32_t seed, int frozen, uint64_t seconds)
+{
+	caller_fleet fleet(seed, 6, 2);
+
+	fleet.f.start_all();
+	fleet.run_for(4000);
+	for (uint64_t end = wall_ms() + seconds * 1000; wall_ms() < end;) {
+		fleet.freeze_some(frozen);
+		fleet.run_with_requests(
+			(uint64_t)fleet.f.random_int(500, 2500));
+	}
+	fleet.run_for(1500);
+	EXPECT_GT(fleet.arrivals, 20 * seconds);
+	EXPECT_GT(fleet.left, 5 * seconds);
+	EXPECT_TRUE(fleet.late.empty())
+		<< "seed " << seed << ": " << fleet.describe();
+	if (getenv("FESCUE_FLEET_VERBOSE"))
+		std::cerr << "seed " << seed << ": " << fleet.describe();
+}
+
+void play_seeds(uint32_t first, int frozen)
+{
+	const char *seeds = getenv("FESCUE_FLEET_SEEDS");
+	const char *seconds = getenv("FESCUE_FLEET_SECONDS");
+	int count = seeds ? atoi(seeds) : 1;
+
+	for (int i = 0; i < count; i++)
+		play(first + (uint32_t)i, frozen,
+		     seconds ? strtoull(seconds, nullptr, 10) : 8);
+}
+
+TEST(left_callers, requests_do_not_arrive_late_in_calm)
+{
+	play_seeds(900, 0);
+}
+
+/* Guards against starts that overtake the cancels of nodes that stand still. */
+TEST(left_callers, requests_do_not_arrive_late_while_nodes_stand_still)
+{
+	play_seeds(1000, 2);
+}
+
+} // namespace
