backend server: a call whose link was lost starts only if it is queried

The target had the call in its queue, and took the first call on a new link for news of the old ones.

News on a later link no longer confirm a call whose link was lost; a query, which its node sends if it still wants it, does. backend_start.call_of_a_lost_link_starts_only_if_it_is_queried failed before.

--- a/src/backend_run.c
+++ b/src/backend_run.c
@@ -121,10 +121,15 @@
 	return NULL;
 }
 
+/*
+ * A cancel of a call whose link was lost may be lost with it, so news on a later
+ * link do not confirm it, but a query does.
+ */
 static int is_unconfirmed(const struct inbound_call *c)
 {
-	return node_context_news_age_ms(c->backend->context, c->from) >
-	       NEWS_AGE_MAX_MS;
+	return c->orphaned_at_ms ||
+	       node_context_news_age_ms(c->backend->context, c->from) >
+		       NEWS_AGE_MAX_MS;
 }
 
 /* The connection to the backend server took long to open. */
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -87,7 +87,8 @@
 	{
 		static int fleets;
 		int a = 64 + (int)((unsigned)getpid() >> 8) % 128;
-		int b = (int)((unsigned)getpid() + (unsigned)fleets++) % 256;
+		int b = (int)(((unsigned)getpid() * 41 + (unsigned)fleets++) %
+			      256);
 		char name[] = "/tmp/fescue-fleet-XXXXXX";
 		struct address store_address;
 
--- a/test/test_backend_start.cc
+++ b/test/test_backend_start.cc
@@ -136,6 +136,32 @@
 	EXPECT_EQ(peer.requests.size(), 1u);
 }
 
+/* Guards against a cancel that is lost with its link, while a new link is open. */
+TEST(backend_start, call_of_a_lost_link_starts_only_if_it_is_queried)
+{
+	for (bool queried : { false, true }) {
+		scripted_peer hanging_peer({ { "", step::HANG } });
+		fixture f(hanging_peer.address);
+
+		f.call(1, 7);
+		f.call(2, 8);
+		while (hanging_peer.requests.empty())
+			f.run_loop();
+		backend_server_peer_disconnected(f.backend, 8);
+		backend_server_cancel(f.backend, 7, 1);
+		f.run_loop();
+		EXPECT_EQ(f.runs(), 1u);
+		if (queried)
+			backend_server_query(f.backend, 8, 2, 99);
+		for (int i = 0; i < 7; i++) {
+			f.context.suspended_ms += 50;
+			backend_server_tick(f.backend);
+			f.run_loop();
+		}
+		EXPECT_EQ(f.runs(), queried ? 2u : 1u);
+	}
+}
+
 /* "Not run" within half a second, so that the node can send it elsewhere. */
 TEST(backend_start, call_of_a_silent_node_is_refused_and_frees_its_slot)
 {
