--- a/test/caller_fleet.h
+++ b/test/caller_fleet.h
@@ -14,6 +14,8 @@
 const uint64_t LATE_MS = 500;
 const uint64_t RUN_MS = 200;
 
+enum node_trouble { NODE_STANDS_STILL, NODE_IS_KILLED, NODE_IS_STOPPED };
+
 struct request {
 	uint64_t sent_ms, left_ms; /* 0: its caller has not left */
 	uint64_t leave_due_ms;
@@ -260,16 +262,31 @@
 				step();
 		}
 	}
-	/* Some nodes stand still, each for a short time. */
-	void freeze_some(int count)
+	/* Some nodes stand still, each for a short time, or start again. */
+	void disturb_some(int count, enum node_trouble trouble)
 	{
 		for (int i = 0; i < count; i++) {
 			fleet_node &node = *f.nodes[(size_t)f.random_int(
 				0, (int)f.nodes.size())];
 
 			if (f.is_running(node))
-				f.freeze_for(node,
-					     (uint64_t)f.random_int(300, 1500));
+				disturb(node, trouble);
+		}
+	}
+	void disturb(fleet_node &node, enum node_trouble trouble)
+	{
+		uint64_t ms = (uint64_t)f.random_int(300, 1500);
+
+		switch (trouble) {
+		case NODE_STANDS_STILL:
+			f.freeze_for(node, ms);
+			break;
+		case NODE_IS_KILLED:
+			f.kill_for(node, ms);
+			break;
+		case NODE_IS_STOPPED:
+			f.terminate_for(node, 6500);
+			break;
 		}
 	}
 	std::string describe()
