tests: one set-up of a queued call, one function that sends a packet

A repeated set-up of test_backend_start and a repeated end of three functions of test_transport; the assertions are unchanged.

--- a/test/test_backend_start.cc
+++ b/test/test_backend_start.cc
@@ -10,6 +10,16 @@
 /* A node of which nothing newer than half a second is known. */
 const uint32_t LATE_MS = 600;
 
+/* Call 1 of node 7 runs; call 2 of the other node waits for its slot. */
+void run_one_and_queue_one(fixture &f, const scripted_peer &hanging_peer,
+			   uint64_t other)
+{
+	f.call(1, 7);
+	f.call(2, other);
+	while (hanging_peer.requests.empty())
+		f.run_loop();
+}
+
 /* Guards against a start that overtakes a cancel on a late link or loop. */
 TEST(backend_start, late_request_does_not_start_before_its_cancel_is_read)
 {
@@ -35,10 +45,7 @@
 	scripted_peer hanging_peer({ { "", step::HANG } });
 	fixture f(hanging_peer.address);
 
-	f.call(1, 7);
-	f.call(2, 8);
-	while (hanging_peer.requests.empty())
-		f.run_loop();
+	run_one_and_queue_one(f, hanging_peer, 8);
 	f.news_age_ms[8] = LATE_MS;
 	backend_server_cancel(f.backend, 7, 1);
 	f.run_loop();
@@ -58,10 +65,7 @@
 	scripted_peer hanging_peer({ { "", step::HANG } });
 	fixture f(hanging_peer.address);
 
-	f.call(1, 7);
-	f.call(2, 1); /* of this node */
-	while (hanging_peer.requests.empty())
-		f.run_loop();
+	run_one_and_queue_one(f, hanging_peer, 1); /* of this node */
 	backend_server_cancel(f.backend, 7, 1);
 	f.heartbeat(2);
 	backend_server_cancel(f.backend, 1, 2);
@@ -77,10 +81,7 @@
 	fixture f(hanging_peer.address);
 	uv_check_t stall;
 
-	f.call(1, 7);
-	f.call(2, 1);
-	while (hanging_peer.requests.empty())
-		f.run_loop();
+	run_one_and_queue_one(f, hanging_peer, 1);
 	backend_server_cancel(f.backend, 7, 1);
 	uv_check_init(f.loop, &stall);
 	uv_check_start(&stall, [](uv_check_t *check) {
@@ -101,10 +102,7 @@
 	scripted_peer hanging_peer({ { "", step::HANG } });
 	fixture f(hanging_peer.address);
 
-	f.call(1, 7);
-	f.call(2, 8);
-	while (hanging_peer.requests.empty())
-		f.run_loop();
+	run_one_and_queue_one(f, hanging_peer, 8);
 	backend_server_peer_disconnected(f.backend, 8);
 	f.news_age_ms[8] = UINT32_MAX;
 	backend_server_cancel(f.backend, 7, 1);
@@ -143,10 +141,7 @@
 		scripted_peer hanging_peer({ { "", step::HANG } });
 		fixture f(hanging_peer.address);
 
-		f.call(1, 7);
-		f.call(2, 8);
-		while (hanging_peer.requests.empty())
-			f.run_loop();
+		run_one_and_queue_one(f, hanging_peer, 8);
 		backend_server_peer_disconnected(f.backend, 8);
 		backend_server_cancel(f.backend, 7, 1);
 		f.run_loop();
--- a/test/test_transport.cc
+++ b/test/test_transport.cc
@@ -67,14 +67,18 @@
 		}
 		uv_run(&loop, UV_RUN_NOWAIT);
 	}
+	void send(uint64_t to, Fescue__Packet *packet)
+	{
+		transport_send(transport, to, PACKET_CALL, packet);
+		packet_destroy(packet);
+	}
 	void send_call(uint64_t to, uint64_t id)
 	{
 		Fescue__Packet *packet =
 			packet_create(FESCUE__PACKET__BODY_CALL_REQUEST);
 
 		packet->call_request->call_id = id;
-		transport_send(transport, to, PACKET_CALL, packet);
-		packet_destroy(packet);
+		send(to, packet);
 	}
 	void send_cancel(uint64_t to, uint64_t id)
 	{
@@ -82,8 +86,7 @@
 			packet_create(FESCUE__PACKET__BODY_CALL_CANCEL);
 
 		packet->call_cancel->call_id = id;
-		transport_send(transport, to, PACKET_CALL, packet);
-		packet_destroy(packet);
+		send(to, packet);
 	}
 	void send_answer(uint64_t to, uint64_t id)
 	{
@@ -91,8 +94,7 @@
 			packet_create(FESCUE__PACKET__BODY_CALL_ANSWER);
 
 		packet->call_answer->call_id = id;
-		transport_send(transport, to, PACKET_CALL, packet);
-		packet_destroy(packet);
+		send(to, packet);
 	}
 	uint64_t key() const
 	{
