http client: an answer without a length ends only after a whole request

Callers saw: a backend server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call comes first. The write of the rest of the upload took it; reads then saw the waiting bytes and an ordinary end, and socket_was_reset() found no error left. The failed write was ignored, on the wrong assumption that reads see the error as well.

Why this works: a connection remembers that a write failed, and the end of its input then ends no answer. Input is still read, so an answer that tells its length or ends in a last chunk is delivered, as it was before: whole_answer_is_delivered_after_reset_of_an_upload.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -187,7 +187,7 @@
 	struct http_call *call = conn->call;
 	uint32_t limit_ms = idle_limit_ms(call);
 	int keep = !has_leftover && !conn->not_reusable && !conn->writing &&
-		   !conn->pool->released && limit_ms &&
+		   !conn->write_failed && !conn->pool->released && limit_ms &&
 		   http_should_keep_alive(&conn->parser);
 
 	http_parser_pause(&conn->parser, 0);
@@ -258,7 +258,8 @@
 	/* Any input on an idle connection is unexpected. */
 	if (!conn->call)
 		conn_close(conn);
-	else if (n == UV_EOF && !socket_was_reset(&conn->tcp))
+	else if (n == UV_EOF && !conn->write_failed &&
+		 !socket_was_reset(&conn->tcp))
 		parse_input(conn, buf->base, 0);
 	else if (n < 0)
 		conn_fail(conn, FESCUE_EPARTIAL);
@@ -270,7 +271,11 @@
 {
 	struct http_conn *conn = req->data;
 
-	(void)status; /* a failure is also reported to on_read() */
+	/*
+	 * A write takes the error of a reset from the socket, so that reads see
+	 * an ordinary end. Input is read on: an answer may be there already.
+	 */
+	conn->write_failed = status < 0;
 	conn->writing = 0;
 }
 
@@ -286,6 +291,7 @@
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	conn->not_reusable = 0;
+	conn->write_failed = 0;
 	conn->mismatched_answers = 0;
 	conn->interim_answers = 0;
 	written = uv_try_write((uv_stream_t *)&conn->tcp, &buf, 1);
--- a/src/http_client_state.h
+++ b/src/http_client_state.h
@@ -34,6 +34,7 @@
 	uint64_t idle_since_ms;
 	uint32_t idle_limit_ms;
 	int writing;
+	int write_failed; /* the peer did not get the whole request */
 	int used_before; /* carried a request before the current one */
 	int not_reusable; /* a later answer could be to an earlier request */
 	uint32_t mismatched_answers; /* to other requests, since this request */
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -51,15 +51,22 @@
 	}
 	/* pause_us: time for the answer to be buffered before it is read. */
 	struct answer get(const char *id = "1", useconds_t pause_us = 0)
+	{
+		return send("GET", "", id, pause_us);
+	}
+	struct answer send(const char *method, const std::string &body,
+			   const char *id = "1", useconds_t pause_us = 0)
 	{
 		struct answer a;
 		struct http_header header = { "x-id", id };
 		struct http_request request = {};
 
-		request.method = "GET";
+		request.method = method;
 		request.path = "/";
 		request.headers = &header;
 		request.header_count = 1;
+		request.body = body.data();
+		request.body_size = body.size();
 		request.echo_name = "x-id";
 		request.echo = id;
 		request.timeout_ms = 2000;
@@ -147,6 +154,46 @@
 	}
 }
 
+/* Guards against a failed write that takes the error the reader would see. */
+TEST(http_client, answer_without_length_is_incomplete_after_reset_of_an_upload)
+{
+	const std::string upload(3000000, 'u');
+	const std::string heads[] = {
+		"HTTP/1.1 200 OK\r\n\r\n",
+		unsized_head,
+		"HTTP/1.0 200 OK\r\n\r\n",
+	};
+
+	for (int i = 0; i < 24; i++) {
+		scripted_peer peer(
+			{ { heads[i % 3] + "part..", step::RESET } });
+		client c(peer.address);
+
+		EXPECT_EQ(c.send("POST", upload, "1", i / 3 * 1000).error,
+			  FESCUE_EPARTIAL);
+	}
+}
+
+/* The same reset after an answer that tells its length takes nothing away. */
+TEST(http_client, whole_answer_is_delivered_after_reset_of_an_upload)
+{
+	const std::string upload(3000000, 'u');
+	const std::string answers[] = {
+		sized_answer("1", "whole"),
+		"HTTP/1.1 200 OK\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n"
+		"\r\n5\r\nwhole\r\n0\r\n\r\n",
+	};
+
+	for (int i = 0; i < 6; i++) {
+		scripted_peer peer({ { answers[i % 2], step::RESET } });
+		client c(peer.address);
+		struct answer a = c.send("POST", upload);
+
+		EXPECT_EQ(a.error, FESCUE_OK);
+		EXPECT_EQ(a.body, "whole");
+	}
+}
+
 TEST(http_client, truncated_answer_is_incomplete)
 {
 	scripted_peer peer({ { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab",
