http client: answers of status 1xx, 204 and 304 end with their head

Callers saw: a conditional request that was answered 304 with the length of the body it stands for got no answer until its deadline; an interim answer with a length swallowed the start of the answer behind it.

Cause: the end of an answer was taken from its length alone. RFC 9112, 6.3 lets the status go first: these three never have a body.

Why this works: the body is skipped by status, as it was for HEAD only.

--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -59,12 +59,18 @@
 	return 0;
 }
 
+static int status_has_body(unsigned int status)
+{
+	return status / 100 != 1 && status != 204 && status != 304;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_call *call = parser_call(parser);
 
 	store_header(call);
-	return call->is_head; /* 1: no body follows */
+	/* 1: no body follows, whatever length the head tells. */
+	return call->is_head || !status_has_body(parser->status_code);
 }
 
 static int on_body(http_parser *parser, const char *at, size_t length)
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -194,6 +194,39 @@
 	}
 }
 
+/* Guards against a wait for a body that the status rules out. */
+TEST(http_client, answer_whose_status_has_no_body_ends_with_its_head)
+{
+	const struct {
+		std::string head;
+		int status;
+	} cases[] = {
+		{ "HTTP/1.1 304 X\r\nx-id: 1\r\ncontent-length: 5\r\n\r\n",
+		  304 },
+		{ "HTTP/1.1 304 X\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n"
+		  "\r\n",
+		  304 },
+		{ "HTTP/1.1 204 X\r\nx-id: 1\r\ncontent-length: 5\r\n\r\n",
+		  204 },
+		{ "HTTP/1.1 103 X\r\ncontent-length: 5\r\n\r\n" +
+			  sized_answer("1", ""),
+		  200 },
+	};
+
+	for (const auto &k : cases) {
+		scripted_peer peer(
+			{ { k.head, step::KEEP },
+			  { sized_answer("2", "two"), step::KEEP } });
+		client c(peer.address);
+		struct answer a = c.get("1");
+
+		EXPECT_EQ(a.error, FESCUE_OK) << k.head;
+		EXPECT_EQ(a.status, k.status);
+		EXPECT_EQ(a.body, "");
+		EXPECT_EQ(c.get("2").body, "two") << k.head;
+	}
+}
+
 TEST(http_client, truncated_answer_is_incomplete)
 {
 	scripted_peer peer({ { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab",
