http client: trailer fields are not headers of the answer

Callers saw: fields that a backend server sent behind a body in chunks reached them as headers, and could stand in for the signature that a head did not have.

Cause: the parser reports fields of the head and of the trailer alike.

Evidence: trailer_fields_are_not_headers failed before: x-signature of the trailer was among the headers.

Why this works: once the head is complete further fields are dropped; RFC 9110, 6.5.1 allows no merging without knowledge of the field.

--- a/src/http_answer.c
+++ b/src/http_answer.c
@@ -18,6 +18,7 @@
 	call->pool->body_bytes -= call->body->len;
 	g_string_truncate(call->body, 0);
 	call->has_value = 0;
+	call->head_complete = 0;
 }
 
 static void store_header(struct http_call *call)
@@ -45,6 +46,8 @@
 {
 	struct http_call *call = parser_call(parser);
 
+	if (call->head_complete)
+		return 0; /* a trailer field */
 	store_header(call);
 	g_string_append_len(call->name, at, (gssize)length);
 	return call->headers->len >= HEADERS_MAX;
@@ -54,6 +57,8 @@
 {
 	struct http_call *call = parser_call(parser);
 
+	if (call->head_complete)
+		return 0;
 	call->has_value = 1;
 	g_string_append_len(call->value, at, (gssize)length);
 	return 0;
@@ -69,6 +74,7 @@
 	struct http_call *call = parser_call(parser);
 
 	store_header(call);
+	call->head_complete = 1;
 	/* 1: no body follows, whatever length the head tells. */
 	return call->is_head || !status_has_body(parser->status_code);
 }
--- a/src/http_client_state.h
+++ b/src/http_client_state.h
@@ -58,6 +58,7 @@
 	GArray *headers; /* struct http_header */
 	GString *name, *value; /* of the header being parsed */
 	int has_value;
+	int head_complete; /* later fields are trailer fields */
 	GString *body;
 	int body_too_big;
 	void (*done)(void *data, const struct http_result *result);
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -23,6 +23,7 @@
 struct answer {
 	int done = 0, error = 0, status = 0, reused = 0;
 	std::string body;
+	std::vector<std::string> header_names;
 };
 
 struct client {
@@ -48,6 +49,8 @@
 		a->status = result->status;
 		a->reused = result->reused;
 		a->body.assign(result->body, result->body_size);
+		for (size_t i = 0; i < result->header_count; i++)
+			a->header_names.push_back(result->headers[i].name);
 	}
 	/* pause_us: time for the answer to be buffered before it is read. */
 	struct answer get(const char *id = "1", useconds_t pause_us = 0)
@@ -227,6 +230,23 @@
 	}
 }
 
+/* Guards against fields after a body that pass for fields of the head. */
+TEST(http_client, trailer_fields_are_not_headers)
+{
+	scripted_peer peer(
+		{ { "HTTP/1.1 200 X\r\nx-id: 1\r\ntransfer-encoding: chunked\r\n"
+		    "\r\n3\r\none\r\n0\r\nx-signature: forged\r\nx-last: 1\r\n"
+		    "\r\n",
+		    step::KEEP } });
+	client c(peer.address);
+	struct answer a = c.get("1");
+
+	EXPECT_EQ(a.error, FESCUE_OK);
+	EXPECT_EQ(a.body, "one");
+	EXPECT_EQ(a.header_names,
+		  (std::vector<std::string>{ "x-id", "transfer-encoding" }));
+}
+
 TEST(http_client, truncated_answer_is_incomplete)
 {
 	scripted_peer peer({ { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab",
