store client: a write whose answer cannot be read may have been applied

Operators saw: "refused" for a change that the store may have accepted, if the 200 to it was not a JSON object.

Refusals with an unreadable body stay refusals.

--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -170,6 +170,23 @@
 	}
 }
 
+/* Guards against an answer that cannot be read and passes for a refusal. */
+TEST(store_client, write_with_an_unreadable_answer_may_have_been_applied)
+{
+	scripted_peer peer({ { answer(200, "{\"revision\":"), step::KEEP },
+			     { answer(200, "[7]"), step::KEEP },
+			     { answer(429, "{"), step::KEEP } });
+	store_fixture s(peer.address);
+
+	for (int i = 0; i < 2; i++) {
+		struct call_result o = s.put();
+
+		EXPECT_EQ(o.error, FESCUE_EINVAL);
+		EXPECT_TRUE(o.maybe_applied);
+	}
+	EXPECT_FALSE(s.put().maybe_applied) << "refused";
+}
+
 /*
  * A watch covers all keys that start with the key, and one answer may hold
  * several events: only the newest event of the key itself is reported.
