--- a/test/scripted_peer.h
+++ b/test/scripted_peer.h
@@ -26,6 +26,7 @@
 	 */
 	enum { KEEP, CLOSE, RESET, HANG, FLOOD } end;
 	std::string flood_bytes = {};
+	useconds_t flood_pause_us = 0; /* after each of them */
 };
 
 /* Listen on a free loopback port, which is stored in address->port. */
@@ -98,8 +99,10 @@
 				continue;
 			if (s.end == step::FLOOD)
 				while (write(fd, s.flood_bytes.data(),
-					     s.flood_bytes.size()) > 0)
+					     s.flood_bytes.size()) > 0) {
 					flooded_bytes += s.flood_bytes.size();
+					usleep(s.flood_pause_us);
+				}
 			if (s.end == step::HANG) {
 				while (read(fd, discarded, sizeof(discarded)) >
 				       0)
--- a/test/test_http_client.cc
+++ b/test/test_http_client.cc
@@ -3,12 +3,11 @@
  * truncated, late, duplicated or endless, and connections that were closed.
  */
 #include "broken_answers.h"
+#include "endless_server.h"
 #include "log_capture.h"
 #include "scripted_peer.h"
 
-#include <atomic>
 #include <csignal>
-#include <map>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,6 +30,7 @@
 struct client {
 	uv_loop_t *loop = uv_default_loop();
 	struct http_pool *pool;
+	uint32_t timeout_ms = 2000;
 
 	explicit client(struct address address)
 	{
@@ -74,7 +74,7 @@
 		request.body_size = body.size();
 		request.echo_name = "x-id";
 		request.echo = id;
-		request.timeout_ms = 2000;
+		request.timeout_ms = timeout_ms;
 		http_pool_send(pool, &request, on_done, &a);
 		for (int i = 0; pause_us && i < 5; i++)
 			uv_run(loop, UV_RUN_NOWAIT);
@@ -85,48 +85,6 @@
 	}
 };
 
-/* A server that sends the same bytes on each connection and keeps it open. */
-struct endless_server {
-	std::string bytes;
-	int listener;
-	struct address address = { 0x7f000001, 0 };
-	std::atomic<bool> stop{ false };
-	std::thread thread;
-
-	explicit endless_server(std::string b) : bytes(std::move(b))
-	{
-		listener = listen_on_loopback(SOCK_NONBLOCK, 200, &address);
-		thread = std::thread([this] { serve(); });
-	}
-	~endless_server()
-	{
-		stop = true;
-		thread.join();
-		close(listener);
-	}
-	void serve()
-	{
-		std::map<int, size_t> sent; /* by connection */
-
-		while (!stop) {
-			int fd = accept4(listener, nullptr, nullptr,
-					 SOCK_NONBLOCK);
-
-			if (fd >= 0)
-				sent[fd] = 0;
-			for (auto &s : sent) {
-				ssize_t n = write(s.first,
-						  bytes.data() + s.second,
-						  bytes.size() - s.second);
-
-				s.second += n > 0 ? (size_t)n : 0;
-			}
-		}
-		for (auto &s : sent)
-			close(s.first);
-	}
-};
-
 std::string sized_answer(const char *id, const std::string &body)
 {
 	return std::string("HTTP/1.1 200 OK\r\nx-id: ") + id +
@@ -400,6 +358,34 @@
 	}
 }
 
+/* Bytes that come slowly and without end are given up at the timeout. */
+TEST(http_client, slow_endless_answers_end_with_their_call)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\n";
+	const struct {
+		std::string first, repeated;
+	} drips[] = {
+		{ "HTTP/1.1 200 ", "a" },
+		{ head + "x: ", "a" },
+		{ head, "x: 1\r\n" },
+		{ head + "\r\n", "a" },
+		{ head + "transfer-encoding: chunked\r\n\r\n", "1\r\na\r\n" },
+		{ "", "HTTP/1.1 100 Continue\r\n\r\n" },
+	};
+
+	for (const auto &drip : drips) {
+		scripted_peer peer(
+			{ { drip.first, step::FLOOD, drip.repeated, 30000 } });
+		client c(peer.address);
+		uint64_t begin = uv_hrtime();
+
+		c.timeout_ms = 400;
+		EXPECT_EQ(c.get("1").error, FESCUE_ETIMEOUT) << drip.first;
+		EXPECT_LT(uv_hrtime() - begin, 1000000000u) << drip.first;
+		EXPECT_LE(http_pool_answer_bytes(c.pool), 4096u);
+	}
+}
+
 /* The memory for the bodies of 100 concurrent calls is bounded. */
 TEST(http_client, concurrent_bodies_are_bounded)
 {
