review: a store that goes back hides a version for good (CONFIG)

No node learns of a version that is written right after the store's return, and a key that it takes away is still accepted 16 s later (bound: 5 s).

--- a/review/lab-2/lab.c
+++ b/review/lab-2/lab.c
@@ -16,7 +16,6 @@
 #include <time.h>
 #include <unistd.h>
 
-#define STORE_NUMBER 200 /* last part of its address */
 #define PORTS 16
 
 static struct {
@@ -225,11 +224,11 @@
 	char *argv[] = { "target/fescue-store-standin", address, NULL };
 
 	snprintf(log, sizeof(log), "%s/store.log", lab.folder);
-	snprintf(address, sizeof(address), "%s.%d:%d", lab.net, STORE_NUMBER,
-		 lab.port);
+	snprintf(address, sizeof(address), "%s.%d:%d", lab.net,
+		 LAB_STORE_NUMBER, lab.port);
 	lab.store = start_process(log, argv, NULL);
 	for (int i = 0; i < 100; i++) {
-		if (lab_request_once(STORE_NUMBER, 0, "GET",
+		if (lab_request_once(LAB_STORE_NUMBER, 0, "GET",
 				     "/control/counters", ""))
 			return;
 		lab_sleep_ms(50);
@@ -237,7 +236,7 @@
 	lab_fail("the stand-in of the store does not answer");
 }
 
-static void encode_base64(const char *text, char *out)
+void lab_encode_base64(const char *text, char *out)
 {
 	static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijkl"
 				     "mnopqrstuvwxyz0123456789+/";
@@ -262,12 +261,12 @@
 {
 	static char base64[LAB_HEAD_BYTES], body[LAB_HEAD_BYTES];
 
-	encode_base64(value, base64);
+	lab_encode_base64(value, base64);
 	snprintf(body, sizeof(body),
 		 "{\"expectedRevision\":[],\"puts\":[{\"key\":\"%s\","
 		 "\"value\":\"%.6000s\",\"lease\":0}],\"deletes\":[]}",
 		 key, base64);
-	if (lab_request_once(STORE_NUMBER, 0, "POST", "/fescuehitch/kv-txn",
+	if (lab_request_once(LAB_STORE_NUMBER, 0, "POST", "/fescuehitch/kv-txn",
 			     body) != 200)
 		lab_fail("the stand-in of the store refuses a write");
 	lab_note("operator: %s is written", key);
@@ -295,7 +294,7 @@
 		lab.net, node, lab.net, node, lab.port + PORT_CALLERS, lab.net,
 		node, lab.port + PORT_CONTROL, lab.net, node,
 		lab.port + PORT_READY, d->memory_mb, d->link_mbps, zone,
-		service, lab.net, STORE_NUMBER, lab.port);
+		service, lab.net, LAB_STORE_NUMBER, lab.port);
 	fprintf(out,
 		"\"witness\": 0, \"floor\": \"prompt\",\n"
 		"\"start_jitter_ms\": 100, \"announce_delay_ms\": 0,\n"
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -17,7 +17,6 @@
 struct lab_request {
 	int fd;
 	int node; /* whose instance got it */
-	int on_connection; /* number of the request on its connection */
 	char method[16], path[256], id[64];
 	char head[LAB_HEAD_BYTES];
 	char *body;
@@ -51,7 +50,8 @@
 void lab_begin(const char *folder, const struct lab_deployment *deployment);
 
 /* Ends all processes, says the result in the record, and exits. */
-void lab_end(enum lab_result result, const char *text);
+void lab_end(enum lab_result result, const char *text)
+	__attribute__((noreturn));
 
 /* Whether the disruption is to be made: not with TROUBLE=0. */
 int lab_has_trouble(void);
@@ -64,6 +64,18 @@
 void lab_start_store(void);
 void lab_put(const char *key, const char *value);
 
+/*
+ * A store of the lab's own, in place of lab_start_store(), that can come back
+ * from an older copy. It is written to without a call.
+ */
+void lab_store_serve(void);
+long long lab_store_write(const char *key, const char *value);
+long long lab_store_revision(void);
+void lab_store_copy(void);
+/* From then on calls get no answer, those under way included. */
+void lab_store_leave(void);
+void lab_store_return(int from_copy);
+
 /* Nodes are numbered from 1. */
 void lab_start_node(int node, const char *service, const char *zone);
 void lab_signal_node(int node, int number);
--- a/review/lab-2/lab_http.c
+++ b/review/lab-2/lab_http.c
@@ -218,8 +218,14 @@
 	       lab_send(request->fd, body, size);
 }
 
-struct served {
-	const struct lab_instance *instance;
+struct server {
+	int number;
+	int listener;
+	lab_handler handler;
+};
+
+struct connection {
+	const struct server *server;
 	int fd;
 };
 
@@ -246,22 +252,21 @@
 	return 1;
 }
 
-static void *serve(void *data)
+static void *serve_connection(void *data)
 {
-	struct served s = *(struct served *)data;
-	struct lab_request request = { .fd = s.fd };
+	struct connection c = *(struct connection *)data;
+	struct lab_request request = { .fd = c.fd };
 	int goes_on;
 
 	free(data);
-	request.node = s.instance->node;
+	request.node = c.server->number;
 	do {
 		request.body = NULL;
-		request.on_connection++;
-		goes_on = read_request(s.fd, &request) &&
-			  s.instance->handler(&request);
+		goes_on = read_request(c.fd, &request) &&
+			  c.server->handler(&request);
 		free(request.body);
 	} while (goes_on);
-	close(s.fd);
+	close(c.fd);
 	return NULL;
 }
 
@@ -276,33 +281,45 @@
 
 static void *accept_always(void *data)
 {
-	const struct lab_instance *instance = data;
-	int listener = lab_listen(instance->node, PORT_SERVER);
+	const struct server *server = data;
 
-	if (listener < 0)
-		lab_fail("an instance cannot listen");
 	for (;;) {
-		int fd = accept4(listener, NULL, NULL, SOCK_CLOEXEC), on = 1;
-		struct served *s = malloc(sizeof(*s));
+		int fd = accept4(server->listener, NULL, NULL, SOCK_CLOEXEC);
+		int on = 1;
+		struct connection *c = malloc(sizeof(*c));
 
-		if (fd < 0 || !s) {
-			free(s);
+		if (fd < 0 || !c) {
+			free(c);
 			continue;
 		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		s->instance = instance;
-		s->fd = fd;
-		start_thread(serve, s);
+		c->server = server;
+		c->fd = fd;
+		start_thread(serve_connection, c);
 	}
 	return NULL;
 }
 
+void lab_serve(int number, enum port port, lab_handler handler)
+{
+	struct server *server = malloc(sizeof(*server));
+
+	if (!server)
+		lab_fail("no memory");
+	server->number = number;
+	server->handler = handler;
+	server->listener = lab_listen(number, port);
+	if (server->listener < 0)
+		lab_fail("a stand-in cannot listen");
+	start_thread(accept_always, server);
+}
+
 void lab_start_instance(struct lab_instance *instance)
 {
 	struct timespec now;
 
 	clock_gettime(CLOCK_REALTIME, &now);
 	instance->born = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
-	start_thread(accept_always, instance);
+	lab_serve(instance->node, PORT_SERVER, instance->handler);
 	start_thread(announce_always, instance);
 }
