--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,161 +1,203 @@
 /*
- * The platform's store comes back from a copy that lacks the record of an
- * instance's leaving. When all nodes are killed later, nobody knows that the
- * instance has left, and a late heartbeat brings it back into use.
+ * The platform's store is down, and leases end meanwhile. The node of a machine
+ * that is added then finds no other one when the store is back, and takes the
+ * whole quota of a tenant for its own share.
  */
 #include "../lab-2/lab.h"
 
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#define NODES 3
-#define WORK_MS 20
-#define CALL_MS 60
+#define OLD_NODES 3
+#define NODES 4 /* with the one that is added */
+#define CALLERS 4 /* of each node */
+#define WORK_MS 5
 #define DEADLINE_MS 2500
-#define DRAIN_MS 2000
-#define STABLE_MS 3000
-#define AWAY_MS 400
-#define KILL_AFTER_MS 1500 /* after the acknowledgement */
-#define DOWN_MS 500
-#define LATE_MS 3500 /* after the acknowledgement: the late heartbeat */
-#define SERVES_MS 9000 /* after the acknowledgement */
+/* At the limit / 1.6, and 7.5 times as much while the tenant is hot. */
+#define PAUSE_MS 375
+#define HOT_PAUSE_MS 50
+#define OUTAGE_MS 4500
+/* After the outage began. */
+#define ADDED_MS 1500
+#define HOT_MS 3500
+#define OVER_MS 10000
+#define RATE 60
+#define BURST 60
+#define WINDOW_MS 5000
+#define RUNS_MAX 100000
+
+#define TEXT(x) #x
+#define NUMBER(x) TEXT(x)
 
 static const char config[] =
 	"{\"version\":7,\"resources\":[{\"type\":\"routes\",\"metadata\":"
 	"{\"name\":\"r-a\"},\"spec\":{\"host\":\"lab.example\",\"prefix\":"
 	"\"/a/\",\"kind\":\"safe\",\"timeoutMs\":2500,\"targetLatencyMs\":400,"
-	"\"priority\":0,\"service\":\"rounds\",\"maxAttempts\":2}},"
-	"{\"type\":\"services\",\"metadata\":{\"name\":\"rounds\"},\"spec\":"
-	"{\"healthPath\":\"/healthz\",\"maxConnections\":110}},"
-	"{\"type\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":"
-	"16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,"
-	"\"idleTimeoutMs\":15000}}]}";
-
-static const char *const zones[NODES] = { "zone-a", "zone-b", "zone-c" };
+	"\"priority\":0,\"service\":\"lobby\",\"maxAttempts\":2}},"
+	"{\"type\":\"services\",\"metadata\":{\"name\":\"lobby\"},\"spec\":"
+	"{\"healthPath\":\"/healthz\",\"maxConnections\":430}},"
+	"{\"type\":\"tenants\",\"metadata\":{\"name\":\"club\"},\"spec\":"
+	"{\"apiKeys\":[\"key-1\"],\"priority\":1,\"ratePerS\":" NUMBER(RATE) ",\"burst\":" NUMBER(
+		BURST) "}},"
+		       "{\"type\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":"
+		       "16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,"
+		       "\"idleTimeoutMs\":15000}}]}";
+
+static const char *const zones[NODES] = { "zone-a", "zone-b", "zone-c",
+					  "zone-a" };
 static struct lab_instance instances[NODES];
-static volatile int64_t acknowledged_ms; /* of instance 1; 0: not yet */
-static volatile int64_t in_touch_ms; /* all nodes are, from then on */
-static volatile int is_over;
-static int late_count;
+static volatile int is_over, is_hot;
+static int64_t sent_ms[RUNS_MAX]; /* of requests that ran */
+static int run_nodes[RUNS_MAX];
+static int run_count;
 
 static int run(struct lab_request *request)
 {
-	int64_t now_ms = lab_now_ms();
-
-	if (request->node == 1 && acknowledged_ms) {
-		lab_note("instance 1: gets %s %d ms after the acknowledgement",
-			 request->id, (int)(now_ms - acknowledged_ms));
-		if (now_ms > acknowledged_ms + DRAIN_MS &&
-		    now_ms > in_touch_ms + DEADLINE_MS)
-			__atomic_add_fetch(&late_count, 1, __ATOMIC_SEQ_CST);
-	}
+	int i = __atomic_fetch_add(&run_count, 1, __ATOMIC_SEQ_CST);
+	long long at_ms;
+
+	if (i < RUNS_MAX &&
+	    sscanf(request->path, "/a/%lld/%d", &at_ms, &run_nodes[i]) == 2)
+		sent_ms[i] = at_ms;
 	lab_sleep_ms(WORK_MS);
 	return !lab_reply(request, 200, "", "done", 4);
 }
 
 static void *call_always(void *data)
 {
-	int node = *(int *)data;
+	int number = *(int *)data, node = number / CALLERS + 1;
 	char text[512];
 
 	for (int i = 0; !is_over; i++) {
 		struct lab_answer answer = { 0 };
-		int fd = lab_connect_client(node);
+		int64_t now_ms = lab_now_ms();
+		int fd = lab_node_is_ready(node) ? lab_connect_client(node) :
+						   -1;
 
 		snprintf(text, sizeof(text),
-			 "GET /a/%d HTTP/1.1\r\nHost: lab.example\r\n"
+			 "GET /a/%lld/%d HTTP/1.1\r\nHost: lab.example\r\n"
 			 "Fescuehitch-Request-Id: n%d-%d\r\n"
+			 "Authorization: Token key-1\r\n"
 			 "Fescuehitch-Deadline-Ms: %d\r\n\r\n",
-			 i, node, i, DEADLINE_MS);
+			 (long long)now_ms, node, number, i, DEADLINE_MS);
 		if (fd >= 0 && !lab_send(fd, text, strlen(text)))
-			lab_read_answer(fd, lab_now_ms() + DEADLINE_MS, NULL,
+			lab_read_answer(fd, now_ms + DEADLINE_MS, NULL,
 					&answer);
 		if (fd >= 0)
 			close(fd);
-		lab_sleep_ms(CALL_MS);
+		for (int k = 0; k < PAUSE_MS / HOT_PAUSE_MS && (!k || !is_hot);
+		     k++)
+			lab_sleep_ms(HOT_PAUSE_MS);
 	}
 	return NULL;
 }
 
+static void add_node(int i)
+{
+	lab_instance_init(&instances[i], i + 1, "lobby", run);
+	lab_start_node(i + 1, "lobby", zones[i]);
+	lab_start_instance(&instances[i]);
+}
+
 static void sleep_until(int64_t at_ms)
 {
 	lab_sleep_ms(at_ms - lab_now_ms());
 }
 
-static void restart_nodes(void)
+static int compare(const void *a, const void *b)
 {
-	for (int i = 1; i <= NODES; i++)
-		lab_signal_node(i, SIGKILL);
-	for (int i = 1; i <= NODES; i++)
-		lab_wait_node(i);
-	lab_sleep_ms(DOWN_MS);
-	for (int i = 1; i <= NODES; i++)
-		lab_start_node(i, "rounds", zones[i - 1]);
-	in_touch_ms = lab_now_ms() + STABLE_MS;
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
 }
 
-static void start(void)
+/* Returns the most requests of any window that ran. */
+static int count_most(int count)
 {
-	static int numbers[NODES];
-	pthread_t thread;
+	int most = 0, first = 0;
+	int64_t from_ms = 0;
 
-	lab_store_serve();
-	lab_store_write("op/config", config);
-	for (int i = 0; i < NODES; i++) {
-		lab_instance_init(&instances[i], i + 1, "rounds", run);
-		lab_start_node(i + 1, "rounds", zones[i]);
-		lab_start_instance(&instances[i]);
+	qsort(sent_ms, (size_t)count, sizeof(*sent_ms), compare);
+	for (int i = 0; i < count; i++) {
+		while (sent_ms[first] <= sent_ms[i] - WINDOW_MS)
+			first++;
+		if (i - first + 1 > most) {
+			most = i - first + 1;
+			from_ms = sent_ms[first];
+		}
 	}
-	lab_wait_ready(NODES);
-	lab_sleep_ms(5000);
-	for (int i = 0; i < NODES; i++) {
-		numbers[i] = i + 1;
-		pthread_create(&thread, NULL, call_always, &numbers[i]);
+	lab_note("%d requests that were sent in the %d ms from %.3f on ran",
+		 most, WINDOW_MS, (double)from_ms / 1000);
+	return most;
+}
+
+static void note_runs(int count, int64_t begin_ms)
+{
+	for (int s = -2; s < OVER_MS / 1000; s++) {
+		int counts[NODES + 1] = { 0 };
+
+		for (int i = 0; i < count; i++)
+			if (sent_ms[i] >= begin_ms + s * 1000 &&
+			    sent_ms[i] < begin_ms + (s + 1) * 1000)
+				counts[run_nodes[i]]++;
+		lab_note("sent in second %d of the outage, ran, by node: "
+			 "%d %d %d, added: %d",
+			 s, counts[1], counts[2], counts[3], counts[4]);
 	}
-	lab_sleep_ms(2000);
 }
 
 int main(int argc, char **argv)
 {
-	static const struct lab_deployment deployment = { .grace_s = 6,
-							  .link_mbps = 1000,
-							  .memory_mb = 260 };
-	struct lab_instance late;
+	static const struct lab_deployment deployment = {
+		.more_settings = "\"quota_window_s\": 5, "
+				 "\"quota_overage\": 0.1, "
+				 "\"quota_slack\": 20, "
+				 "\"key_freshness_ms\": 5000,",
+		.grace_s = 6,
+		.link_mbps = 15,
+		.memory_mb = 160
+	};
+	static int numbers[NODES * CALLERS];
+	double bound = (RATE * WINDOW_MS / 1000 + BURST) * 1.1 + 20;
+	int64_t begin_ms;
+	pthread_t thread;
 	char text[160];
+	int most;
 
 	lab_begin(argc > 1 ? argv[1] : ".", &deployment);
-	start();
-	lab_store_copy();
-	lab_sleep_ms(1000);
-	instances[0].stopped = 1;
-	/* The heartbeat that is late was sent before the DELETE. */
-	late = instances[0];
-	late.sequence++;
-	if (lab_announce(&instances[0], NULL) != 200)
-		lab_end(LAB_NOT_RUN, "the leaving is not acknowledged");
-	acknowledged_ms = lab_now_ms();
-	if (lab_has_trouble() && !getenv("NO_RETURN")) {
-		lab_sleep_ms(500);
-		lab_store_leave();
-		lab_sleep_ms(AWAY_MS);
-		lab_store_return(1);
+	lab_store_serve();
+	lab_store_write("op/config", config);
+	for (int i = 0; i < OLD_NODES; i++)
+		add_node(i);
+	lab_wait_ready(OLD_NODES);
+	lab_sleep_ms(5000);
+	for (int i = 0; i < NODES * CALLERS; i++) {
+		numbers[i] = i;
+		pthread_create(&thread, NULL, call_always, &numbers[i]);
 	}
-	sleep_until(acknowledged_ms + KILL_AFTER_MS);
+	lab_sleep_ms(3000);
+	begin_ms = lab_now_ms();
+	if (lab_has_trouble())
+		lab_store_leave();
+	sleep_until(begin_ms + ADDED_MS);
+	add_node(NODES - 1);
+	sleep_until(begin_ms + HOT_MS);
+	is_hot = 1;
+	sleep_until(begin_ms + OUTAGE_MS);
+	if (lab_has_trouble() && !getenv("KEEP_LEASES"))
+		lab_store_end_leases();
 	if (lab_has_trouble())
-		restart_nodes();
-	sleep_until(acknowledged_ms + LATE_MS);
-	lab_note("instance 1: a heartbeat that was sent before the DELETE "
-		 "arrives, gets %d",
-		 lab_announce(&late, "ready"));
-	sleep_until(acknowledged_ms + SERVES_MS);
+		lab_store_return(0);
+	sleep_until(begin_ms + OVER_MS);
 	is_over = 1;
+	lab_sleep_ms(500);
+	note_runs(run_count, begin_ms);
+	most = count_most(run_count);
 	snprintf(text, sizeof(text),
-		 "%d requests of nodes in touch reached instance 1 later than "
-		 "%d ms after the acknowledgement",
-		 late_count, DRAIN_MS);
-	lab_end(late_count ? LAB_BROKEN : LAB_HELD, text);
+		 "%d requests of a tenant ran in %d ms, the bound is %.0f",
+		 most, WINDOW_MS, bound);
+	lab_end(most > bound ? LAB_BROKEN : LAB_HELD, text);
 }
--- a/review/lab-2/lab.h
+++ b/review/lab-2/lab.h
@@ -75,6 +75,8 @@
 /* From then on calls get no answer, those under way included. */
 void lab_store_leave(void);
 void lab_store_return(int from_copy);
+/* All leases end, and the keys that hang on them are removed. */
+void lab_store_end_leases(void);
 
 /* Nodes are numbered from 1. */
 void lab_start_node(int node, const char *service, const char *zone);
--- a/review/lab-2/lab_store.c
+++ b/review/lab-2/lab_store.c
@@ -423,6 +423,18 @@
 	lab_note("store: is away, at revision %lld", now.revision);
 }
 
+void lab_store_end_leases(void)
+{
+	pthread_mutex_lock(&mutex);
+	now.lease_count = 0;
+	now.revision++;
+	for (size_t i = 0; i < now.item_count; i++)
+		if (now.items[i].lease && now.items[i].value)
+			delete (now.items[i].key);
+	pthread_mutex_unlock(&mutex);
+	lab_note("store: all leases have ended, revision %lld", now.revision);
+}
+
 void lab_store_return(int from_copy)
 {
 	pthread_mutex_lock(&mutex);
