--- a/review/10/case.c
+++ b/review/10/case.c
@@ -2,6 +2,8 @@
  * A node acknowledges that its instance leaves while the platform's store is down,
  * so that the leaving isn't stored. When all nodes are killed before the store is
  * back, nobody knows of it, and a late heartbeat brings the instance back into use.
+ *
+ * With COPY=1 the store takes the record, and comes back from a copy without it.
  */
 #include "../lab-2/lab.h"
 
@@ -22,6 +24,9 @@
 /* After the acknowledgement. */
 #define KILL_MS 700
 #define RETURN_MS 1500 /* of the store */
+#define COPY_AWAY_MS 500
+#define COPY_RETURN_MS 900
+#define COPY_KILL_MS 1500
 #define LATE_MS 3500 /* the late heartbeat */
 #define SERVES_MS 9000
 #define DOWN_MS 500 /* processes, after the kill */
@@ -41,7 +46,7 @@
 static struct lab_instance instances[NODES];
 static volatile int64_t acknowledged_ms; /* of instance 1; 0: not yet */
 static volatile int64_t in_touch_ms; /* all nodes are, from then on */
-static int has_outage, has_kills;
+static int has_outage, has_kills, has_copy;
 static volatile int is_over;
 static int late_count;
 
@@ -103,15 +108,22 @@
 /* What happens after the acknowledgement, up to the late heartbeat. */
 static void make_trouble(void)
 {
+	if (has_copy) {
+		sleep_until(acknowledged_ms + COPY_AWAY_MS);
+		lab_store_leave();
+		sleep_until(acknowledged_ms + COPY_RETURN_MS);
+		lab_store_return(1);
+	}
 	if (has_kills) {
-		sleep_until(acknowledged_ms + KILL_MS);
+		sleep_until(acknowledged_ms +
+			    (has_copy ? COPY_KILL_MS : KILL_MS));
 		restart_nodes();
 	}
 	if (has_outage) {
 		sleep_until(acknowledged_ms + RETURN_MS);
 		lab_store_return(0);
 	}
-	if (has_kills || has_outage)
+	if (has_kills || has_outage || has_copy)
 		in_touch_ms = lab_now_ms() + STABLE_MS;
 }
 
@@ -144,10 +156,13 @@
 	struct lab_instance late;
 	char text[160];
 
-	has_outage = lab_has_trouble() && !getenv("NO_OUTAGE");
+	has_copy = lab_has_trouble() && getenv("COPY");
+	has_outage = lab_has_trouble() && !has_copy && !getenv("NO_OUTAGE");
 	has_kills = lab_has_trouble() && !getenv("NO_KILLS");
 	lab_begin(argc > 1 ? argv[1] : ".", &deployment);
 	start();
+	if (has_copy)
+		lab_store_copy();
 	if (has_outage)
 		lab_store_leave();
 	lab_sleep_ms(AWAY_BEFORE_MS);
