--- a/review/9/case.c
+++ b/review/9/case.c
@@ -137,11 +137,12 @@
 static void note_runs(int count, int64_t begin_ms)
 {
 	for (int s = -2; s < OVER_MS / 1000; s++) {
+		int64_t from_ms = begin_ms + (int64_t)s * 1000;
 		int counts[NODES + 1] = { 0 };
 
 		for (int i = 0; i < count; i++)
-			if (sent_ms[i] >= begin_ms + s * 1000 &&
-			    sent_ms[i] < begin_ms + (s + 1) * 1000)
+			if (sent_ms[i] >= from_ms &&
+			    sent_ms[i] < from_ms + 1000)
 				counts[run_nodes[i]]++;
 		lab_note("sent in second %d of the outage, ran, by node: "
 			 "%d %d %d, added: %d",
@@ -161,7 +162,8 @@
 		.memory_mb = 160
 	};
 	static int numbers[NODES * CALLERS];
-	double bound = (RATE * WINDOW_MS / 1000 + BURST) * 1.1 + 20;
+	const int limit = RATE * (WINDOW_MS / 1000) + BURST;
+	double bound = limit * 1.1 + 20;
 	int64_t begin_ms;
 	pthread_t thread;
 	char text[160];
