bootstrap: give up what was known of the store when it comes back from a copy

Cause: the watch went on from a revision that the store had given out again, and each empty answer counted as the confirmation that nothing is newer. Store-Era was not read.

A watch that is answered in another era than it was sent in has no result, revisions of an earlier era are forgotten, peers tell the era in their reports, and a late answer of an earlier era changes nothing. The stand-in can take a copy and come back from it.

--- a/fescue/distribution.h
+++ b/fescue/distribution.h
@@ -189,6 +189,13 @@
 			  uint64_t store_revision, uint64_t now_ms,
 			  struct outbox *outbox);
 
+/*
+ * Set the store's era, before the first answer of it is handled; 0: the store
+ * tells none. Revisions of earlier eras are forgotten.
+ */
+void distribution_set_store_era(struct distribution *distribution,
+				uint64_t era);
+
 /*
  * Handle an answer of the store to a call that started at started_ms, before
  * distribution_confirm(). value_accepted is 0 if the last value read was
@@ -218,8 +225,8 @@
 				     uint64_t now_ms);
 
 /*
- * Returns the highest revision of the store up to which this host is known to
- * have the newest version; 0: none.
+ * Returns the highest revision of the store, in its era, up to which this host
+ * is known to have the newest version; 0: none.
  */
 uint64_t distribution_store_revision(const struct distribution *distribution);
 
--- a/proto/fescue.pb-c.c
+++ b/proto/fescue.pb-c.c
@@ -2314,7 +2314,7 @@
   (ProtobufCMessageInit) fescue__config_fetch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor fescue__config_state__field_descriptors[12] =
+static const ProtobufCFieldDescriptor fescue__config_state__field_descriptors[13] =
 {
   {
     "confirmed",
@@ -2460,6 +2460,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Fescue__ConfigState, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned fescue__config_state__field_indices_by_name[] = {
   3,   /* field[3] = age_ms */
@@ -2471,6 +2483,7 @@
   8,   /* field[8] = known_version */
   10,   /* field[10] = query_ms */
   5,   /* field[5] = rank */
+  12,   /* field[12] = store_era */
   4,   /* field[4] = store_revision */
   6,   /* field[6] = subtree */
   1,   /* field[1] = version */
@@ -2478,7 +2491,7 @@
 static const ProtobufCIntRange fescue__config_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor fescue__config_state__descriptor =
 {
@@ -2488,7 +2501,7 @@
   "Fescue__ConfigState",
   "fescue",
   sizeof(Fescue__ConfigState),
-  12,
+  13,
   fescue__config_state__field_descriptors,
   fescue__config_state__field_indices_by_name,
   1,  fescue__config_state__number_ranges,
--- a/proto/fescue.pb-c.h
+++ b/proto/fescue.pb-c.h
@@ -335,10 +335,14 @@
    * the clock, read after the query was received
    */
   uint64_t clock_ms;
+  /*
+   * of store_revision; 0: the store tells none
+   */
+  uint64_t store_era;
 };
 #define FESCUE__CONFIG_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&fescue__config_state__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -82,6 +82,7 @@
 	const struct bootstrap_settings *s = &b->settings;
 
 	b->confirmed_ms = MAX(started_ms, b->previous_tick_ms);
+	distribution_set_store_era(s->distribution, bootstrap_store_era(b));
 	/*
 	 * The answer may have been under way since before that tick. Keys
 	 * depend on the start of the call, which is certainly earlier.
@@ -183,6 +184,12 @@
 		confirm_floor(b, version);
 }
 
+static void set_watch_after(struct bootstrap *b, uint64_t store_revision)
+{
+	b->watch_after = store_revision;
+	b->watch_era = bootstrap_store_era(b);
+}
+
 static void on_boot_config(void *data, const struct store_result *result)
 {
 	struct bootstrap *b = data;
@@ -194,7 +201,7 @@
 		return;
 	}
 	process_newest_value(b, result);
-	b->watch_after = result->store_revision;
+	set_watch_after(b, result->store_revision);
 	confirm_version(b, b->boot_call_started_ms, result);
 	b->phase = BOOT_DONE;
 }
@@ -281,7 +288,7 @@
 	b->watch_retry_ms = RETRY_MIN_MS;
 	b->watch_at_ms = bootstrap_now_ms(b) + pause;
 	if (result->store_revision)
-		b->watch_after = result->store_revision;
+		set_watch_after(b, result->store_revision);
 	bootstrap_update_store_state(b, FESCUE_OK);
 	confirm_version(b, b->watch_started_ms, result);
 }
@@ -410,6 +417,26 @@
 	rendezvous_publish(b, now_ms);
 }
 
+/*
+ * The store came back from a copy. A version that was written since may have any
+ * revision, so the key is read; a watch that waits is not answered any more.
+ */
+static void on_new_era(void *data)
+{
+	struct bootstrap *b = data;
+	uint64_t era = bootstrap_store_era(b);
+
+	distribution_set_store_era(b->settings.distribution, era);
+	if (b->watch_era == era)
+		return;
+	b->watch_after = 0;
+	b->watch_at_ms = 0;
+	if (!b->watch_call || !b->watching)
+		return;
+	store_call_cancel(b->watch_call);
+	b->watch_call = NULL;
+}
+
 struct bootstrap *bootstrap_create(const struct bootstrap_settings *settings)
 {
 	struct bootstrap *b = g_new0(struct bootstrap, 1);
@@ -420,6 +447,7 @@
 	b->store_up = 1;
 	b->watch_retry_ms = RETRY_MIN_MS;
 	bootstrap_restart(b);
+	store_era_subscribe(store_client_era(settings->store), on_new_era, b);
 	return b;
 }
 
@@ -427,6 +455,7 @@
 {
 	if (!b)
 		return;
+	store_era_unsubscribe(store_client_era(b->settings.store), b);
 	if (b->boot_call)
 		store_call_cancel(b->boot_call);
 	if (b->watch_call)
--- a/src/bootstrap_state.h
+++ b/src/bootstrap_state.h
@@ -6,6 +6,7 @@
 #define FESCUE_BOOTSTRAP_STATE_H
 
 #include "bootstrap.h"
+#include "store_era.h"
 
 #define RENDEZVOUS_PREFIX "fescue/rendezvous/"
 #define RELAY_DELAY_MS 1000 /* in which peers answer a joining node */
@@ -45,6 +46,7 @@
 	int watching;
 	struct store_call *watch_call;
 	uint64_t watch_after; /* revision of the store; 0: read the key first */
+	uint64_t watch_era; /* of the store, in which watch_after is valid */
 	uint64_t watch_at_ms;
 	uint64_t watch_started_ms;
 	uint32_t watch_retry_ms;
@@ -76,6 +78,11 @@
 	       !b->list_was_empty;
 }
 
+static inline uint64_t bootstrap_store_era(const struct bootstrap *b)
+{
+	return store_era_now(store_client_era(b->settings.store));
+}
+
 /* Record the result of a store call, whether the store is reachable. */
 void bootstrap_update_store_state(struct bootstrap *bootstrap, int error);
 
--- a/src/distribution_freshness.c
+++ b/src/distribution_freshness.c
@@ -79,6 +79,7 @@
 		report.hash = text->hash;
 		report.age_ms = (uint32_t)(now_ms - d->freshness.own_ms);
 		report.store_revision = d->freshness.store_revision;
+		report.store_era = d->freshness.store_era;
 	}
 	keys_fill_report(d, &report);
 	send_report(d, &report, (const uint64_t *)hosts->data, hosts->len,
@@ -109,8 +110,10 @@
 	struct freshness *f = &d->freshness;
 
 	f->known_ms = MAX(f->known_ms, confirmation->as_of_ms);
-	f->store_revision =
-		MAX(f->store_revision, confirmation->store_revision);
+	/* A revision of another era says nothing of this one. */
+	if (confirmation->store_era == f->store_era)
+		f->store_revision =
+			MAX(f->store_revision, confirmation->store_revision);
 	if (confirmation->rank < d->candidate_rank)
 		f->better_ms = MAX(f->better_ms, confirmation->as_of_ms);
 }
@@ -215,7 +218,7 @@
 	struct freshness *f = &d->freshness;
 	struct confirmation confirmation = {
 		state->version, now_ms - MIN(now_ms, state->age_ms),
-		state->store_revision, state->rank
+		state->store_era, state->store_revision, state->rank
 	};
 
 	keys_receive(d, from, state, now_ms, outbox);
@@ -249,6 +252,16 @@
 	send_state(d, 0, now_ms, outbox);
 }
 
+void distribution_set_store_era(struct distribution *d, uint64_t era)
+{
+	struct freshness *f = &d->freshness;
+
+	if (era <= f->store_era)
+		return;
+	f->store_era = era;
+	f->store_revision = 0;
+}
+
 uint64_t distribution_unconfirmed_ms(const struct distribution *d,
 				     uint64_t now_ms)
 {
--- a/src/distribution_state.h
+++ b/src/distribution_state.h
@@ -38,6 +38,7 @@
 struct confirmation {
 	uint64_t version; /* newest valid one; 0: no confirmation */
 	uint64_t as_of_ms;
+	uint64_t store_era; /* of store_revision */
 	uint64_t store_revision; /* of the whole store */
 	size_t rank; /* of the candidate */
 };
@@ -50,6 +51,7 @@
 	uint64_t own_ms; /* answer to this host; 0: none */
 	uint64_t known_ms; /* answer to any host of the domain */
 	uint64_t better_ms; /* answer to a candidate ranked before this host */
+	uint64_t store_era; /* 0: the store tells none */
 	uint64_t store_revision; /* of the whole store at known_ms */
 	struct confirmation ahead; /* of a version that is not here yet */
 	uint64_t report_due_ms;
--- a/src/node_control.c
+++ b/src/node_control.c
@@ -2,6 +2,7 @@
 #include "node.h"
 
 #include "backend_server.h"
+#include "store_era.h"
 
 static const Fescue__Gossip *gossip_of(const Fescue__Packet *packet)
 {
@@ -47,6 +48,9 @@
 		node_flush(node);
 		return;
 	}
+	if (packet->body_case == FESCUE__PACKET__BODY_CONFIG_STATE)
+		store_era_learn(store_client_era(node->store),
+				packet->config_state->store_era);
 	membership_receive(node->membership, from, packet, now_ms,
 			   &node->outbox);
 	left = membership_self(node->membership)->left;
--- a/standin/store_data.c
+++ b/standin/store_data.c
@@ -26,6 +26,54 @@
 	g_free(event);
 }
 
+void contents_init(struct contents *c)
+{
+	c->entries = g_tree_new_full(compare_keys, NULL, g_free, entry_free);
+	c->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  g_free);
+	g_queue_init(&c->history);
+	c->compacted_revision = 0;
+	c->revision = 0;
+}
+
+void contents_clear(struct contents *c)
+{
+	g_tree_destroy(c->entries);
+	g_hash_table_destroy(c->leases);
+	g_queue_clear_full(&c->history, event_free);
+}
+
+static gboolean copy_entry(gpointer key, gpointer value, gpointer data)
+{
+	struct entry *entry = g_memdup2(value, sizeof(*entry));
+
+	entry->value = g_memdup2(entry->value, entry->size);
+	g_tree_replace(data, g_strdup(key), entry);
+	return FALSE;
+}
+
+void contents_copy(const struct contents *c, struct contents *out)
+{
+	GHashTableIter iter;
+	gpointer id, lease;
+
+	g_tree_foreach(c->entries, copy_entry, out->entries);
+	g_hash_table_iter_init(&iter, c->leases);
+	while (g_hash_table_iter_next(&iter, &id, &lease))
+		g_hash_table_insert(out->leases,
+				    g_memdup2(id, sizeof(uint64_t)),
+				    g_memdup2(lease, sizeof(struct lease)));
+	for (const GList *l = c->history.head; l; l = l->next) {
+		struct event *event = g_memdup2(l->data, sizeof(*event));
+
+		event->key = g_strdup(event->key);
+		json_incref(event->json);
+		g_queue_push_tail(&out->history, event);
+	}
+	out->compacted_revision = c->compacted_revision;
+	out->revision = c->revision;
+}
+
 json_t *entry_to_json(const char *key, const struct entry *entry)
 {
 	char *value =
@@ -42,14 +90,14 @@
 
 struct entry *find_entry(struct store *s, const char *key)
 {
-	return g_tree_lookup(s->entries, key);
+	return g_tree_lookup(s->now.entries, key);
 }
 
 json_t *events_after(struct store *s, const char *prefix, uint64_t after)
 {
 	json_t *events = json_array();
 
-	for (GList *l = s->history.head; l; l = l->next) {
+	for (GList *l = s->now.history.head; l; l = l->next) {
 		struct event *event = l->data;
 
 		if (event->revision > after &&
@@ -61,9 +109,9 @@
 
 void drop_oldest_event(struct store *s)
 {
-	struct event *event = g_queue_pop_head(&s->history);
+	struct event *event = g_queue_pop_head(&s->now.history);
 
-	s->compacted_revision = event->revision;
+	s->now.compacted_revision = event->revision;
 	event_free(event);
 }
 
@@ -72,10 +120,10 @@
 	struct event *event = g_new0(struct event, 1);
 
 	event->key = g_strdup(key);
-	event->revision = s->revision;
+	event->revision = s->now.revision;
 	event->json = json;
-	g_queue_push_tail(&s->history, event);
-	if (g_queue_get_length(&s->history) > STORE_STANDIN_EVENTS_MAX)
+	g_queue_push_tail(&s->now.history, event);
+	if (g_queue_get_length(&s->now.history) > STORE_STANDIN_EVENTS_MAX)
 		drop_oldest_event(s);
 }
 
@@ -88,19 +136,19 @@
 	entry->value =
 		(char *)g_base64_decode(base64 ? base64 : "", &entry->size);
 	entry->lease = lease;
-	entry->revision = s->revision;
-	entry->created = old ? old->created : s->revision;
-	g_tree_replace(s->entries, g_strdup(key), entry);
+	entry->revision = s->now.revision;
+	entry->created = old ? old->created : s->now.revision;
+	g_tree_replace(s->now.entries, g_strdup(key), entry);
 	add_event(s, key, entry_to_json(key, entry));
 }
 
 void remove_entry(struct store *s, const char *key)
 {
-	if (!g_tree_remove(s->entries, key))
+	if (!g_tree_remove(s->now.entries, key))
 		return;
 	add_event(s, key,
 		  json_pack("{s:s, s:I, s:b}", "key", key, "revision",
-			    (json_int_t)s->revision, "removed", 1));
+			    (json_int_t)s->now.revision, "removed", 1));
 }
 
 json_t *failed_conditions(struct store *s, const json_t *conditions)
@@ -133,7 +181,7 @@
 		uint64_t lease = (uint64_t)json_integer_value(
 			json_object_get(json_array_get(puts, i), "lease"));
 
-		if (lease && !g_hash_table_contains(s->leases, &lease))
+		if (lease && !g_hash_table_contains(s->now.leases, &lease))
 			return 0;
 	}
 	return 1;
@@ -167,14 +215,14 @@
 
 int store_expire_leases(struct store *s)
 {
-	struct orphan_search search = { s->leases, NULL };
+	struct orphan_search search = { s->now.leases, NULL };
 
-	if (!g_hash_table_foreach_remove(s->leases, lease_expired, s))
+	if (!g_hash_table_foreach_remove(s->now.leases, lease_expired, s))
 		return 0;
 	search.keys = g_ptr_array_new_with_free_func(g_free);
-	g_tree_foreach(s->entries, collect_orphan, &search);
+	g_tree_foreach(s->now.entries, collect_orphan, &search);
 	if (search.keys->len)
-		s->revision++;
+		s->now.revision++;
 	for (guint i = 0; i < search.keys->len; i++)
 		remove_entry(s, g_ptr_array_index(search.keys, i));
 	g_ptr_array_free(search.keys, TRUE);
--- a/standin/store_data.h
+++ b/standin/store_data.h
@@ -33,18 +33,25 @@
 	uint64_t expires_ms;
 };
 
+/* What the store holds, and what a copy of it keeps. */
+struct contents {
+	GTree *entries; /* key -> struct entry */
+	GQueue history; /* struct event, the oldest at the head */
+	uint64_t compacted_revision; /* of the newest event dropped */
+	GHashTable *leases; /* id -> struct lease */
+	uint64_t revision;
+};
+
 struct store {
 	uv_loop_t *loop;
 	int stopped; /* store_standin_destroy() was called */
 	struct store *next_stopped;
 	struct http_server *server;
-	GTree *entries; /* key -> struct entry */
-	GQueue history; /* struct event, the oldest at the head */
-	uint64_t compacted_revision; /* of the newest event dropped */
-	GHashTable *leases; /* id -> struct lease */
+	struct contents now;
+	struct contents *copy; /* NULL: none was taken */
+	uint64_t era; /* told in answers; 0: none */
 	GPtrArray *watches; /* struct call that waits for a change */
 	GPtrArray *held_calls; /* struct call that gets no answer */
-	uint64_t revision;
 	uint64_t last_lease; /* id of the newest lease */
 	enum outage outage;
 	uint32_t delay_ms; /* of each answer */
@@ -62,6 +69,12 @@
 
 void entry_free(gpointer entry);
 
+void contents_init(struct contents *contents);
+void contents_clear(struct contents *contents);
+
+/* out must be empty, as after contents_init(). */
+void contents_copy(const struct contents *contents, struct contents *out);
+
 /* Returns the entry in the format of an answer. */
 json_t *entry_to_json(const char *key, const struct entry *entry);
 
--- a/standin/store_main.c
+++ b/standin/store_main.c
@@ -11,7 +11,10 @@
 
 int main(int argc, char **argv)
 {
+	static int64_t era;
 	static const GOptionEntry entries[] = {
+		{ "era", 0, 0, G_OPTION_ARG_INT64, &era,
+		  "Era that the answers tell; by default, none", "N" },
 		{ NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
 	};
 	uv_loop_t *loop = uv_default_loop();
@@ -31,6 +34,7 @@
 			argv[1]);
 		return EXIT_ERROR;
 	}
+	store_standin_set_era(store, (uint64_t)MAX(era, 0));
 	uv_run(loop, UV_RUN_DEFAULT);
 	return EXIT_OK;
 }
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -3,6 +3,7 @@
 #include "faults.h"
 #include "fescue/error.h"
 #include "http_server.h"
+#include "platform/names.h"
 #include "store_data.h"
 
 #include <inttypes.h>
@@ -33,16 +34,28 @@
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
+static void send_reply(struct call *c, int status, const char *text)
+{
+	char era[24];
+	struct http_header headers[] = {
+		{ "content-type", "application/json" },
+		{ PLATFORM_HEADER_ERA, era },
+	};
+
+	g_snprintf(era, sizeof(era), "%" PRIu64, c->store->era);
+	http_exchange_reply(c->exchange, status, headers, c->store->era ? 2 : 1,
+			    text, strlen(text));
+}
+
 static void reply(struct call *c, int status, json_t *json)
 {
 	char *text;
 
 	json_object_set_new(json, "storeRevision",
-			    json_integer((json_int_t)c->store->revision));
+			    json_integer((json_int_t)c->store->now.revision));
 	text = json_dumps(json, JSON_COMPACT);
 	if (c->exchange)
-		http_exchange_reply_text(c->exchange, status,
-					 "application/json", text);
+		send_reply(c, status, text);
 	free(text);
 	json_decref(json);
 	call_end(c);
@@ -108,7 +121,7 @@
 {
 	struct page page = { c, json_array(), 0 };
 
-	g_tree_foreach(c->store->entries, add_page_entry, &page);
+	g_tree_foreach(c->store->now.entries, add_page_entry, &page);
 	reply(c, 200,
 	      json_pack("{s:o, s:b}", "items", page.items, "hasMore",
 			page.has_more));
@@ -139,7 +152,8 @@
 
 	if (!s->lose_answers) {
 		reply(c, 200,
-		      json_pack("{s:I}", "revision", (json_int_t)s->revision));
+		      json_pack("{s:I}", "revision",
+				(json_int_t)s->now.revision));
 		return;
 	}
 	s->lose_answers--;
@@ -163,7 +177,7 @@
 		reply_error(c, 404, "no such lease");
 		return;
 	}
-	s->revision++;
+	s->now.revision++;
 	for (size_t i = 0; i < json_array_size(puts); i++) {
 		const json_t *put = json_array_get(puts, i);
 
@@ -187,7 +201,8 @@
 {
 	json_t *events;
 
-	if (c->number < c->store->compacted_revision) {
+	if (c->number < c->store->now.compacted_revision ||
+	    (c->store->era && c->number > c->store->now.revision)) {
 		reply_error(c, 410, "the history is gone");
 		return;
 	}
@@ -218,13 +233,14 @@
 	*id = ++s->last_lease;
 	lease->ttl_ms = c->number;
 	lease->expires_ms = uv_now(s->loop) + lease->ttl_ms;
-	g_hash_table_insert(s->leases, id, lease);
+	g_hash_table_insert(s->now.leases, id, lease);
 	reply_lease(c, *id, lease);
 }
 
 static void handle_lease_keep(struct call *c)
 {
-	struct lease *lease = g_hash_table_lookup(c->store->leases, &c->number);
+	struct lease *lease =
+		g_hash_table_lookup(c->store->now.leases, &c->number);
 
 	if (!lease) {
 		reply_error(c, 404, "no such lease");
@@ -236,7 +252,8 @@
 
 static void handle_lease_end(struct call *c)
 {
-	struct lease *lease = g_hash_table_lookup(c->store->leases, &c->number);
+	struct lease *lease =
+		g_hash_table_lookup(c->store->now.leases, &c->number);
 
 	if (lease)
 		lease->expires_ms = 0;
@@ -380,9 +397,10 @@
 	json_t *faults = faults_parse(
 		exchange,
 		"send {\"outage\": \"none|refuse|hang\", \"delay_ms\": N, "
-		"\"lose_answers\": N, \"rate_cap\": N, \"compact\": 0|1}\n");
+		"\"lose_answers\": N, \"rate_cap\": N, \"compact\": 0|1, "
+		"\"copy\": 0|1, \"restore\": 0|1}\n");
 	json_t *outage = json_object_get(faults, "outage");
-	uint32_t compact = 0;
+	uint32_t compact = 0, copy = 0, restore = 0;
 
 	if (!faults)
 		return;
@@ -392,7 +410,13 @@
 	faults_set_number(faults, "lose_answers", &s->lose_answers);
 	faults_set_number(faults, "rate_cap", &s->rate_limit);
 	faults_set_number(faults, "compact", &compact);
-	while (compact && !g_queue_is_empty(&s->history))
+	faults_set_number(faults, "copy", &copy);
+	faults_set_number(faults, "restore", &restore);
+	if (copy)
+		store_standin_copy(s);
+	if (restore)
+		store_standin_restore(s);
+	while (compact && !g_queue_is_empty(&s->now.history))
 		drop_oldest_event(s);
 	faults_finish(exchange, faults);
 }
@@ -406,7 +430,7 @@
 		"\nwaiting_watches %u\nrevision %" PRIu64 "\n",
 		s->reads, s->writes, s->watch_calls, s->refused,
 		s->lost_answers, s->peak_reads, s->peak_writes, s->watches->len,
-		s->revision);
+		s->now.revision);
 
 	http_exchange_reply_text(exchange, 200, "text/plain", text);
 	g_free(text);
@@ -434,12 +458,43 @@
 		answer_watches(s);
 }
 
+void store_standin_set_era(struct store *s, uint64_t era)
+{
+	s->era = era;
+}
+
+void store_standin_copy(struct store *s)
+{
+	if (s->copy)
+		contents_clear(s->copy);
+	else
+		s->copy = g_new(struct contents, 1);
+	contents_init(s->copy);
+	contents_copy(&s->now, s->copy);
+}
+
+void store_standin_restore(struct store *s)
+{
+	if (!s->copy)
+		return;
+	contents_clear(&s->now);
+	contents_init(&s->now);
+	contents_copy(s->copy, &s->now);
+	s->era++;
+	close_watches(s);
+}
+
+int store_standin_has(struct store *s, const char *key)
+{
+	return find_entry(s, key) != NULL;
+}
+
 void store_standin_put(struct store *s, const char *key, const char *value,
 		       size_t size)
 {
 	char *base64 = g_base64_encode((const guchar *)value, size);
 
-	s->revision++;
+	s->now.revision++;
 	put_entry(s, key, base64, 0);
 	g_free(base64);
 	answer_watches(s);
@@ -453,10 +508,7 @@
 	*out = s;
 	s->loop = loop;
 	s->delay_ms = ANSWER_DELAY_MS;
-	s->entries = g_tree_new_full(compare_keys, NULL, g_free, entry_free);
-	s->leases = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					  g_free);
-	g_queue_init(&s->history);
+	contents_init(&s->now);
 	s->watches = g_ptr_array_new();
 	s->held_calls = g_ptr_array_new();
 	uv_timer_init(loop, &s->expiry_timer);
@@ -470,10 +522,10 @@
 {
 	struct store *s = handle->data;
 
-	while (!g_queue_is_empty(&s->history))
-		drop_oldest_event(s);
-	g_tree_destroy(s->entries);
-	g_hash_table_destroy(s->leases);
+	contents_clear(&s->now);
+	if (s->copy)
+		contents_clear(s->copy);
+	g_free(s->copy);
 	g_ptr_array_free(s->watches, TRUE);
 	g_ptr_array_free(s->held_calls, TRUE);
 }
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -32,6 +32,21 @@
  */
 void store_standin_set_outage(struct store *store, enum outage outage);
 
+/*
+ * Takes a copy of all that the store holds, in place of an earlier one, and
+ * comes back from it: what was written since is gone, leases too, and its
+ * revisions are given out again. The era rises by one, and watches that wait are
+ * cut. Without a copy, nothing happens.
+ */
+void store_standin_copy(struct store *store);
+void store_standin_restore(struct store *store);
+
+/* Sets the era that all answers tell; 0, as at the start: they tell none. */
+void store_standin_set_era(struct store *store, uint64_t era);
+
+/* Returns whether the key exists. */
+int store_standin_has(struct store *store, const char *key);
+
 /* Writes a value as the operator does. */
 void store_standin_put(struct store *store, const char *key, const char *value,
 		       size_t size);
--- a/test/test_bootstrap.cc
+++ b/test/test_bootstrap.cc
@@ -203,6 +203,34 @@
 				  interface_config_key(INTERFACE_PLATFORM),
 				  text.data(), text.size());
 	}
+	void put_numbered_document(int version)
+	{
+		put_document("{\"version\":" + std::to_string(version) +
+			     ",\"resources\":[{\"type\":\"services\","
+			     "\"metadata\":{\"name\":\"shop\"},\"spec\":{}}]}");
+	}
+	/* Other users of the store. */
+	void put_others(int count)
+	{
+		for (int i = 0; i < count; i++)
+			store_standin_put(store, "app/x", "x", 1);
+	}
+	/* Starts with version 7, and stores version 8 after a copy was taken. */
+	void start_with_copy()
+	{
+		store_standin_set_era(store, 1);
+		put_numbered_document(7);
+		ASSERT_TRUE(becomes_active(5000));
+		run_for(1500);
+		store_standin_copy(store);
+		put_others(40);
+		put_numbered_document(8);
+		ASSERT_TRUE(becomes_active(ACTIVE_WITHIN_MS));
+	}
+	uint64_t store_calls()
+	{
+		return counters.values[COUNTER_store_calls];
+	}
 	/* Returns whether another version becomes active in time. */
 	bool becomes_active(uint64_t within_ms)
 	{
@@ -240,6 +268,77 @@
 	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
 }
 
+/*
+ * Guards against a watch from a revision of the store before it came back from a
+ * copy: a version that is written then, at a lower revision, was never read.
+ */
+TEST(bootstrap, change_after_return_from_a_copy_is_active_in_time)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+
+	f.start_with_copy();
+	/* In the pause of the watch after a change. */
+	store_standin_restore(f.store);
+	f.put_numbered_document(9);
+	f.put_others(80);
+	EXPECT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS));
+	EXPECT_EQ(f.active, 9u);
+}
+
+/* The same while a watch waits, twice, and after a silent outage. */
+TEST(bootstrap, changes_after_returns_in_series_are_active_in_time)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+
+	f.start_with_copy();
+	f.run_for(1000);
+	for (int version = 9; version < 12; version++) {
+		store_standin_set_outage(f.store, version == 11 ? OUTAGE_HANG :
+								  OUTAGE_NONE);
+		f.run_for(400);
+		store_standin_restore(f.store);
+		store_standin_set_outage(f.store, OUTAGE_NONE);
+		f.put_numbered_document(version);
+		f.put_others(80);
+		ASSERT_TRUE(f.becomes_active(ACTIVE_WITHIN_MS)) << version;
+		EXPECT_EQ(f.active, (uint64_t)version);
+	}
+}
+
+/* Guards against a version of before that the copy has, and an old node. */
+TEST(bootstrap, older_version_of_a_copy_does_not_become_active)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+
+	f.start_with_copy();
+	store_standin_restore(f.store);
+	f.run_for(3000);
+	EXPECT_EQ(f.active, 8u);
+}
+
+/*
+ * Guards against reads and watches without a pause while the store's revision
+ * is below the one that was known before: 20 calls a second and more.
+ */
+TEST(bootstrap, return_from_a_copy_brings_no_storm_of_calls)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+	uint64_t before, after;
+
+	f.start_with_copy();
+	f.run_for(1000);
+	before = f.store_calls();
+	f.run_for(5000);
+	before = f.store_calls() - before;
+	store_standin_restore(f.store);
+	after = f.store_calls();
+	f.run_for(5000);
+	after = f.store_calls() - after;
+	printf("calls in 5 s before and after the return: %d, %d\n",
+	       (int)before, (int)after);
+	EXPECT_LE(after, 2 * before);
+}
+
 /*
  * Guards against waiting on connections that went silent without a reset: the
  * one of the watch, and then the idle ones, on which the next call is sent.
