bootstrap: write the rendezvous record again after a return from a copy

What could be seen: hosts that started found no relay in the store, until the relays missed their leases up to 3 s later and took new ones 3 s after that.

Cause: as for the watch, the record and its lease were believed to be in the store for as long as the process lived. A write under a lease that is gone was also repeated with that lease for good.

--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -427,6 +427,7 @@
 	uint64_t era = bootstrap_store_era(b);
 
 	distribution_set_store_era(b->settings.distribution, era);
+	rendezvous_forget_record(b, bootstrap_now_ms(b));
 	if (b->watch_era == era)
 		return;
 	b->watch_after = 0;
--- a/src/bootstrap_rendezvous.c
+++ b/src/bootstrap_rendezvous.c
@@ -9,6 +9,7 @@
 
 #define RENDEZVOUS_TTL_MS 10000
 #define RENDEZVOUS_RENEW_MS 3000
+#define NEW_ERA_SPREAD_MS 500 /* in which relays publish again */
 #define CONFLICT_PAUSE_MS 500 /* in which two groups of nodes merge */
 /* A listed host that did not answer may have been restarted as well. */
 #define JOIN_INTERVAL_MS 100
@@ -128,6 +129,8 @@
 	bootstrap_update_store_state(b, result->error);
 	b->record_revision = result->revision;
 	b->published = result->error == FESCUE_OK;
+	if (result->error == FESCUE_ENOTFOUND)
+		b->lease = 0;
 	if (result->error == FESCUE_ECONFLICT) {
 		b->rendezvous_at_ms = bootstrap_now_ms(b) + CONFLICT_PAUSE_MS;
 		read_list(b, LIST_FRESH, on_list_read);
@@ -163,6 +166,17 @@
 		read_list(b, LIST_STALE_OK, on_list_read);
 }
 
+void rendezvous_forget_record(struct bootstrap *b, uint64_t now_ms)
+{
+	if (!b->lease && !b->published)
+		return;
+	b->lease = 0;
+	b->published = 0;
+	b->record_revision = 0;
+	b->rendezvous_at_ms = now_ms + (uint64_t)g_rand_int_range(
+					       b->random, 0, NEW_ERA_SPREAD_MS);
+}
+
 static void publish(struct bootstrap *b)
 {
 	size_t rank = distribution_rank(b->settings.distribution);
--- a/src/bootstrap_state.h
+++ b/src/bootstrap_state.h
@@ -102,6 +102,12 @@
 /* Read the records once more if there were none at the start. */
 void rendezvous_read_again(struct bootstrap *bootstrap, uint64_t now_ms);
 
+/*
+ * The store came back from a copy: the record may be gone, and the lease is of
+ * an earlier era.
+ */
+void rendezvous_forget_record(struct bootstrap *bootstrap, uint64_t now_ms);
+
 /* A relay keeps a leased record by which joining nodes find peers. */
 void rendezvous_publish(struct bootstrap *bootstrap, uint64_t now_ms);
 
--- a/test/test_bootstrap.cc
+++ b/test/test_bootstrap.cc
@@ -339,6 +339,25 @@
 	EXPECT_LE(after, 2 * before);
 }
 
+/*
+ * Guards against a relay whose rendezvous record the store lost, so that hosts
+ * that start do not find it until its lease is missed.
+ */
+TEST(bootstrap, rendezvous_record_is_written_again_after_return_from_a_copy)
+{
+	fixture f(store_address, INTERFACE_PLATFORM);
+
+	store_standin_set_era(f.store, 1);
+	store_standin_copy(f.store);
+	f.put_numbered_document(7);
+	f.run_for(4500);
+	ASSERT_TRUE(store_standin_has(f.store, "fescue/rendezvous/a/0"));
+	store_standin_restore(f.store);
+	ASSERT_FALSE(store_standin_has(f.store, "fescue/rendezvous/a/0"));
+	f.run_for(2500);
+	EXPECT_TRUE(store_standin_has(f.store, "fescue/rendezvous/a/0"));
+}
+
 /*
  * Guards against waiting on connections that went silent without a reset: the
  * one of the watch, and then the idle ones, on which the next call is sent.
