leaving_record: write the record again after a return from a copy

What could be seen: a leaving that the store had taken was missing after the store's return from a copy, and its node believed it stored, so that it was forgotten when all nodes were killed later.

Cause: the record was written once for the life of the process.

--- a/src/leaving_record.c
+++ b/src/leaving_record.c
@@ -2,6 +2,7 @@
 
 #include "fescue/error.h"
 #include "log.h"
+#include "store_era.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -16,7 +17,7 @@
 	uint64_t stored; /* in the store, as far as known; 0: none */
 	uint64_t wanted; /* 0: nothing to save */
 	uint64_t writing; /* by the pending call */
-	uint64_t revision; /* of the key */
+	uint64_t revision; /* of the key, if it is known */
 	uint64_t call_at_ms; /* earliest time of the next call */
 	struct store_call *call;
 };
@@ -34,44 +35,57 @@
 		  fescue_strerror(error));
 }
 
+static uint64_t read_value(const char *value, size_t size)
+{
+	char *text = g_strndup(value ? value : "", value ? size : 0);
+	uint64_t left = g_ascii_strtoull(text, NULL, 16);
+
+	g_free(text);
+	return left;
+}
+
 static void on_read(void *data, const struct store_result *result)
 {
 	struct leaving_record *r = data;
-	char *text;
 
 	r->call = NULL;
 	if (result->error && result->error != FESCUE_ENOTFOUND) {
 		retry_later(r, "read", result->error);
 		return;
 	}
-	if (!result->error) {
-		text = g_strndup(result->value ? result->value : "",
-				 result->value ? result->size : 0);
-		r->stored = g_ascii_strtoull(text, NULL, 16);
-		g_free(text);
-	}
+	if (!result->error)
+		r->stored = read_value(result->value, result->size);
 	r->revision = result->revision;
 	r->is_loaded = 1;
 	r->settings.loaded(r->settings.data, r->stored);
 }
 
+static void set_stored(struct leaving_record *r)
+{
+	r->stored = r->writing;
+	log_event(LOG_STATE, "leaving_record_saved",
+		  "\"left\":\"%016" PRIx64 "\"", r->stored);
+	if (leaving_record_is_saved(r))
+		r->settings.saved(r->settings.data);
+}
+
 static void on_written(void *data, const struct store_result *result)
 {
 	struct leaving_record *r = data;
+	const struct store_item *item = result->items;
 
 	r->call = NULL;
 	switch (result->error) {
 	case FESCUE_OK:
-		r->stored = r->writing;
 		r->revision = result->revision;
-		log_event(LOG_STATE, "leaving_record_saved",
-			  "\"left\":\"%016" PRIx64 "\"", r->stored);
-		if (leaving_record_is_saved(r))
-			r->settings.saved(r->settings.data);
+		set_stored(r);
 		break;
 	case FESCUE_ECONFLICT:
-		/* An earlier write whose answer was lost, or a former run. */
+		/* An earlier write, or that of a former run. */
 		r->revision = result->revision;
+		if (result->item_count &&
+		    read_value(item->value, item->size) == r->writing)
+			set_stored(r);
 		break;
 	default:
 		retry_later(r, "write", result->error);
@@ -113,6 +127,21 @@
 	return !r->wanted || r->wanted == r->stored;
 }
 
+/*
+ * The store came back from a copy, which may be older than the record. Written
+ * again, also if a former run of the node wrote it.
+ */
+static void on_new_era(void *data)
+{
+	struct leaving_record *r = data;
+
+	if (!r->wanted)
+		r->wanted = r->stored;
+	r->stored = 0;
+	r->revision = 0;
+	r->call_at_ms = 0;
+}
+
 struct leaving_record *
 leaving_record_create(const struct leaving_record_settings *settings)
 {
@@ -128,6 +157,7 @@
 		r->call_at_ms += (uint64_t)g_rand_int_range(
 			random, 0, (gint32)settings->start_jitter_ms);
 	g_rand_free(random);
+	store_era_subscribe(store_client_era(settings->store), on_new_era, r);
 	return r;
 }
 
@@ -135,6 +165,7 @@
 {
 	if (!r)
 		return;
+	store_era_unsubscribe(store_client_era(r->settings.store), r);
 	if (r->call)
 		store_call_cancel(r->call);
 	g_free(r->key);
--- a/test/node_fixture.h
+++ b/test/node_fixture.h
@@ -187,13 +187,14 @@
 			heartbeat(id, i, born);
 		return heartbeat(id, sequence, born) >= 0;
 	}
-	/* What a store does that comes back from a copy without the record. */
-	void remove_leaving_record()
+	std::string leaving_key()
 	{
-		std::string key = "fescue/leaving/" + own_loopback_text() +
-				  ":" + std::to_string(peer_port);
-
-		store_standin_put(store, key.c_str(), "", 0);
+		return "fescue/leaving/" + own_loopback_text() + ":" +
+		       std::to_string(peer_port);
+	}
+	bool has_leaving_record()
+	{
+		return store_standin_has(store, leaving_key().c_str());
 	}
 	int64_t heartbeat(const char *id, int sequence, int born = 1000,
 			  int slots = 4)
--- a/test/test_node_leaving.cc
+++ b/test/test_node_leaving.cc
@@ -48,11 +48,12 @@
 {
 	fixture f;
 
+	store_standin_copy(f.store);
 	f.start_node();
 	ASSERT_TRUE(f.introduce("i-1", 5));
 	ASSERT_GE(f.send("DELETE", "i-1", ""), 0);
 	f.kill_node();
-	f.remove_leaving_record();
+	store_standin_restore(f.store);
 	f.start_node();
 	f.run_for(500);
 	f.heartbeat("i-1", 6);
@@ -60,6 +61,35 @@
 	EXPECT_FALSE(f.node->is_serving());
 }
 
+/*
+ * Guards against a leaving that the store lost and that its node believes stored:
+ * it was missing when all nodes were killed later.
+ */
+TEST(node_leaving, record_is_written_again_after_return_from_a_copy)
+{
+	fixture f;
+
+	store_standin_set_era(f.store, 1);
+	store_standin_copy(f.store);
+	f.put_config(7);
+	f.start_node();
+	f.run_for(2500); /* it watches the store */
+	ASSERT_TRUE(f.introduce("i-1", 5));
+	ASSERT_GE(f.send("DELETE", "i-1", ""), 0);
+	ASSERT_TRUE(f.has_leaving_record());
+	store_standin_restore(f.store);
+	ASSERT_FALSE(f.has_leaving_record());
+	f.run_for(2000);
+	EXPECT_TRUE(f.has_leaving_record());
+	/* Also if a former run of the node wrote it. */
+	f.kill_node();
+	f.start_node();
+	f.run_for(2500);
+	store_standin_restore(f.store);
+	f.run_for(2500);
+	EXPECT_TRUE(f.has_leaving_record());
+}
+
 /*
  * Guards against a backend server that stays out of use after all nodes were
  * killed: it repeats what is refused, as the platform's instances do.
