rollout_store: read and restore records after a return from a copy

What could be seen: the result of a roll-out that the store lost was not stored again, so that the operator did not see it and the next leader would have started the order anew.

Cause: the leader kept the revision and contents of the record that it had written, and ignored a record with a lower revision.

Open: an order that is written after the return at a lower revision than the known one is ignored; see docs/design/store-era.md.

--- a/fescue/rollout_leader.h
+++ b/fescue/rollout_leader.h
@@ -122,6 +122,13 @@
 			       const struct rollout_record *record,
 			       uint64_t revision, uint64_t now_ms);
 
+/*
+ * Call when the store came back from an older copy of itself: all records are
+ * read again, and those that it lacks or has of an earlier phase are written
+ * again.
+ */
+void rollout_leader_read_again(struct rollout_leader *leader);
+
 /*
  * Returns 1 and the service whose record is to be read, or 0. A read that gets
  * no answer is asked for again after a while; there is nothing to report.
--- a/src/rollout_leader_records.c
+++ b/src/rollout_leader_records.c
@@ -140,6 +140,43 @@
 		rollout_enter_phase(leader, led, led->record.phase, now_ms);
 }
 
+void rollout_leader_read_again(struct rollout_leader *leader)
+{
+	for (guint i = 0; i < leader->rollouts->len; i++) {
+		struct led_rollout *led = leader->rollouts->pdata[i];
+
+		led->revision = 0;
+		led->may_be_lost = 1;
+		rollout_want_read(led);
+	}
+}
+
+/* Writes the phase again of which the store lost the record. */
+static void restore_record(struct led_rollout *led)
+{
+	const struct rollout_record *record = &led->record;
+	int is_lost = led->may_be_lost && led->is_led &&
+		      (!led->has_record || record->phase != led->phase ||
+		       record->order_id != led->order.order_id);
+
+	led->may_be_lost = 0;
+	if (is_lost && led->wanted_phase == ROLLOUT_WAITING)
+		led->wanted_phase = led->phase;
+}
+
+static void take_record(const struct rollout_leader *leader,
+			struct led_rollout *led, uint64_t now_ms)
+{
+	const struct rollout_record *record = &led->record;
+
+	if (led->is_led && record->term > led->term)
+		rollout_yield_lead(led, now_ms);
+	else if (led->is_led && record->order_id == led->order.order_id &&
+		 rollout_phase_is_final(record->phase))
+		take_result(leader, led, now_ms);
+	take_elapsed(led, now_ms);
+}
+
 void rollout_leader_put_record(struct rollout_leader *leader,
 			       const char *service,
 			       const struct rollout_record *record,
@@ -163,15 +200,11 @@
 	led->is_record_known = 1;
 	led->has_record = record != NULL;
 	led->revision = revision;
-	if (!record)
-		return;
-	led->record = *record;
-	if (led->is_led && record->term > led->term)
-		rollout_yield_lead(led, now_ms);
-	else if (led->is_led && record->order_id == led->order.order_id &&
-		 rollout_phase_is_final(record->phase))
-		take_result(leader, led, now_ms);
-	take_elapsed(led, now_ms);
+	if (record) {
+		led->record = *record;
+		take_record(leader, led, now_ms);
+	}
+	restore_record(led);
 }
 
 int rollout_leader_next_read(struct rollout_leader *leader, uint64_t now_ms,
--- a/src/rollout_leader_state.h
+++ b/src/rollout_leader_state.h
@@ -34,6 +34,7 @@
 	uint64_t revision;
 	int wants_read;
 	uint64_t read_after_ms;
+	int may_be_lost; /* the store may hold an older record, or none */
 
 	/* Phase to be written, or ROLLOUT_WAITING: none. */
 	uint32_t wanted_phase;
--- a/src/rollout_store.c
+++ b/src/rollout_store.c
@@ -4,6 +4,7 @@
 #include "log.h"
 #include "platform/rollout_order.h"
 #include "rollout_record.h"
+#include "store_era.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -515,6 +516,17 @@
 	return known ? &known->order : NULL;
 }
 
+/* The store came back from a copy: revisions of orders and records are void. */
+static void on_new_era(void *data)
+{
+	struct rollout_store *s = data;
+
+	cancel(&s->watch_call);
+	s->watch_after = 0;
+	s->call_at_ms = now_ms(s);
+	rollout_leader_read_again(s->settings.leader);
+}
+
 struct rollout_store *
 rollout_store_create(const struct rollout_store_settings *settings)
 {
@@ -530,6 +542,7 @@
 	if (settings->start_jitter_ms)
 		s->call_at_ms += (uint64_t)g_rand_int_range(
 			s->random, 0, (gint32)settings->start_jitter_ms);
+	store_era_subscribe(store_client_era(settings->store), on_new_era, s);
 	return s;
 }
 
@@ -537,6 +550,7 @@
 {
 	if (!s)
 		return;
+	store_era_unsubscribe(store_client_era(s->settings.store), s);
 	cancel(&s->load_call);
 	cancel(&s->watch_call);
 	cancel_record_calls(s);
--- a/test/test_rollout_task.cc
+++ b/test/test_rollout_task.cc
@@ -180,6 +180,39 @@
 	store_client_destroy(client);
 }
 
+/* Its record is back at a lower revision, or gone. */
+TEST(rollout_task, roll_out_goes_on_after_return_of_the_store_from_a_copy)
+{
+	running_rollout f;
+
+	store_standin_set_era(f.standin, 1);
+	store_standin_copy(f.standin);
+	ASSERT_TRUE(f.reach(ROLLOUT_CANARY, 5000));
+	f.run(2500); /* the leader has seen the era */
+	store_standin_restore(f.standin);
+	EXPECT_TRUE(f.reach(ROLLOUT_COMPLETED, 16000));
+	EXPECT_TRUE(
+		f.run_until([&f] { return f.status_is("completed"); }, 3000));
+}
+
+/* The result is stored again, or the next leader would start the order anew. */
+TEST(rollout_task, result_is_stored_again_after_return_of_the_store_from_a_copy)
+{
+	running_rollout f(true);
+
+	store_standin_set_era(f.standin, 1);
+	ASSERT_TRUE(f.reach(ROLLOUT_CANARY, 5000));
+	store_standin_copy(f.standin);
+	ASSERT_TRUE(f.reach(ROLLOUT_ROLLED_BACK, 16000));
+	ASSERT_TRUE(
+		f.run_until([&f] { return f.status_is("rolled_back"); }, 3000));
+	f.run(2500);
+	store_standin_restore(f.standin);
+	ASSERT_FALSE(f.status_is("rolled_back"));
+	EXPECT_TRUE(
+		f.run_until([&f] { return f.status_is("rolled_back"); }, 5000));
+}
+
 /* A leader that can't hear its successor must not act beside it for long. */
 TEST(rollout_task, frozen_leader_yields_to_a_higher_term)
 {
