quota: no share for a host that may not know the others

Cause: the leases of all rendezvous records had ended in the outage, so that the added node found no other host, and counted itself only. The second in which a started host uses no share had passed in the outage.

Change: a relay writes, in the same transaction, a second record without a lease. A host that finds others listed uses and lends no share until one of these has answered, and for QUOTA_SETTLE_MS more; after 10 s without an answer they are taken for gone.

--- a/fescue/quota.h
+++ b/fescue/quota.h
@@ -68,6 +68,15 @@
 				     uint64_t run, uint64_t now_ms);
 void quota_host_destroy(struct quota_host *host);
 
+/*
+ * The host may not know yet which others there are: it uses and lends its share
+ * no more until quota_host_peers_known(). With has_met, it met them only now, and
+ * they learn of it within QUOTA_SETTLE_MS.
+ */
+void quota_host_await_peers(struct quota_host *host);
+void quota_host_peers_known(struct quota_host *host, int has_met,
+			    uint64_t now_ms);
+
 /*
  * Sets the hosts that may become owner, best first, at most QUOTA_CANDIDATES,
  * and the number of hosts known, dead ones included.
@@ -142,6 +151,9 @@
 void quota_host_receive(struct quota_host *host, uint64_t from,
 			const Fescue__QuotaGrant *grant, uint64_t now_ms);
 
+/* Number of hosts known, as last set; at least 1. */
+uint32_t quota_host_known(const struct quota_host *host);
+
 /* Host that is asked for tokens now; 0: none. */
 uint64_t quota_host_owner(const struct quota_host *host);
 
--- a/src/bootstrap.c
+++ b/src/bootstrap.c
@@ -23,6 +23,8 @@
  * of them find the records of those that were first.
  */
 #define EMPTY_LIST_SPREAD_MS 1000
+/* Listed hosts that do not answer for so long are taken for gone. */
+#define PEERS_GONE_AFTER_MS 10000
 /*
  * Pause of the watch after a change, so that a burst of versions is read only
  * once. Well below the time within which a change must be active.
@@ -219,6 +221,8 @@
 	for (size_t i = 0; i < result->item_count; i++)
 		rendezvous_join(b, &result->items[i]);
 	b->settings.changed(b->settings.data);
+	if (!b->list_read_ms)
+		b->list_read_ms = bootstrap_now_ms(b);
 	b->list_was_empty = !result->item_count;
 	b->relay_at_ms = bootstrap_now_ms(b) + RELAY_DELAY_MS;
 	if (b->list_was_empty)
@@ -500,6 +504,15 @@
 	return &b->floor;
 }
 
+int bootstrap_awaits_peers(const struct bootstrap *b)
+{
+	if (!b->list_read_ms)
+		return !membership_is_synced(b->settings.membership);
+	return b->list_was_empty ||
+	       (rendezvous_has_met_none(b) &&
+		bootstrap_now_ms(b) < b->list_read_ms + PEERS_GONE_AFTER_MS);
+}
+
 int bootstrap_store_is_up(const struct bootstrap *b)
 {
 	return b->store_up;
--- a/src/bootstrap.h
+++ b/src/bootstrap.h
@@ -31,7 +31,7 @@
 	/*
 	 * Meet the other hosts soon after a start, also when the hosts of the
 	 * rendezvous records start at the same time. For quotas, which count
-	 * the hosts that are known QUOTA_SETTLE_MS after the start.
+	 * the hosts that are known.
 	 */
 	int join_quickly;
 	uint32_t seed;
@@ -75,6 +75,13 @@
  */
 void bootstrap_record_store_result(struct bootstrap *bootstrap, int error);
 
+/*
+ * Whether hosts may be up of which this node does not know: it has not read the
+ * rendezvous records since its start, or none of the hosts in them has answered.
+ * Ends after a while, as they may all be gone.
+ */
+int bootstrap_awaits_peers(const struct bootstrap *bootstrap);
+
 /* Returns 0 after a store call that failed because the store is unreachable. */
 int bootstrap_store_is_up(const struct bootstrap *bootstrap);
 
--- a/src/bootstrap_rendezvous.c
+++ b/src/bootstrap_rendezvous.c
@@ -11,6 +11,11 @@
 #define RENDEZVOUS_RENEW_MS 3000
 #define NEW_ERA_SPREAD_MS 500 /* in which relays publish again */
 #define CONFLICT_PAUSE_MS 500 /* in which two groups of nodes merge */
+/*
+ * Of a second record, without a lease: the last host that published at the rank.
+ * Leases may end while the store is down, and the hosts live on.
+ */
+#define LAST_SUFFIX "/last"
 /* A listed host that did not answer may have been restarted as well. */
 #define JOIN_INTERVAL_MS 100
 #define JOIN_PROBES 4 /* per interval; limits control traffic */
@@ -90,6 +95,25 @@
 	b->settings.changed(b->settings.data);
 }
 
+int rendezvous_has_met_none(const struct bootstrap *b)
+{
+	const struct membership *membership = b->settings.membership;
+	uint64_t self = membership_self(membership)->address;
+	int others = 0;
+
+	for (guint i = 0; i < b->listed->len; i++) {
+		uint64_t address = g_array_index(b->listed, uint64_t, i);
+		const struct host *host = membership_find(membership, address);
+
+		if (address == self)
+			continue;
+		others = 1;
+		if (host && host_is_up(host))
+			return !membership_is_synced(membership);
+	}
+	return others;
+}
+
 /* If no peers are found again, the node may act as a relay at once. */
 static void on_second_list(void *data, const struct store_result *result)
 {
@@ -180,17 +204,24 @@
 static void publish(struct bootstrap *b)
 {
 	size_t rank = distribution_rank(b->settings.distribution);
-	char key[160], value[ADDRESS_TEXT_BYTES];
+	char key[160], last_key[sizeof(key) + 8], value[ADDRESS_TEXT_BYTES];
+	size_t size;
 
 	if (rank != b->published_rank)
 		b->record_revision = 0;
 	b->published_rank = rank;
 	g_snprintf(key, sizeof(key), RENDEZVOUS_PREFIX "%s/%zu",
 		   b->settings.failure_domain, rank);
-	address_format(b->settings.peer_address, value);
-	b->rendezvous_call = store_put(b->settings.store, key, value,
-				       strlen(value), b->record_revision,
-				       b->lease, on_published, b);
+	g_snprintf(last_key, sizeof(last_key), "%s" LAST_SUFFIX, key);
+	size = strlen(address_format(b->settings.peer_address, value));
+	const struct store_write writes[] = {
+		{ key, value, size, b->record_revision, b->lease },
+		{ last_key, value, size, STORE_ANY_REVISION, 0 },
+	};
+
+	b->rendezvous_call = store_put_all(b->settings.store, writes,
+					   G_N_ELEMENTS(writes), on_published,
+					   b);
 }
 
 void rendezvous_publish(struct bootstrap *b, uint64_t now_ms)
--- a/src/bootstrap_state.h
+++ b/src/bootstrap_state.h
@@ -34,6 +34,7 @@
 	struct floor floor;
 	uint64_t relay_at_ms; /* earliest time to act as a relay */
 	int list_was_empty; /* it is read again at relay_at_ms */
+	uint64_t list_read_ms; /* first time; 0: not yet */
 	int store_up;
 	int leading; /* see bootstrap_set_leading() */
 	int announces_loss; /* led since the store was last reachable */
@@ -99,6 +100,9 @@
  */
 void rendezvous_join_again(struct bootstrap *bootstrap, uint64_t now_ms);
 
+/* Whether other hosts are listed and none of them has answered. */
+int rendezvous_has_met_none(const struct bootstrap *bootstrap);
+
 /* Read the records once more if there were none at the start. */
 void rendezvous_read_again(struct bootstrap *bootstrap, uint64_t now_ms);
 
--- a/src/node.c
+++ b/src/node.c
@@ -148,6 +148,14 @@
 	node->isolated = isolated;
 }
 
+static void update_quota(struct node *node)
+{
+	if (!bootstrap_awaits_peers(node->bootstrap))
+		quota_task_peers_known(node->quota,
+				       membership_is_synced(node->membership));
+	quota_task_tick(node->quota, node->snapshot);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct node *node = timer->data;
@@ -178,7 +186,7 @@
 	node->counters.values[COUNTER_stalled_closed] =
 		http_server_stalled_closed(node->caller_server);
 	if (node->quota)
-		quota_task_tick(node->quota, node->snapshot);
+		update_quota(node);
 	transport_check_links(node->transport, LINK_IDLE_MS);
 	update_isolation(node);
 	node_update_config(node);
@@ -287,9 +295,11 @@
 	backend.quarantine = node->quarantine;
 	backend.crashes = node->crash_reports;
 	node->backend = backend_server_create(&node->context, &backend);
-	if (s->quota.window_ms)
+	if (s->quota.window_ms) {
 		node->quota = quota_task_create(&node->context,
 						node->membership, &s->quota);
+		quota_task_await_peers(node->quota);
+	}
 	callers.quota = node->quota;
 	node->callers = caller_table_create(&node->context, &callers);
 }
--- a/src/quota.c
+++ b/src/quota.c
@@ -13,6 +13,7 @@
 	h->settings = *settings;
 	h->run = run;
 	h->start_ms = now_ms;
+	h->settled_ms = now_ms + QUOTA_SETTLE_MS;
 	h->known = 1;
 	h->returned = g_array_new(FALSE, FALSE, sizeof(struct quota_returned));
 	h->accounts = g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
@@ -29,6 +30,18 @@
 	g_free(h);
 }
 
+void quota_host_await_peers(struct quota_host *h)
+{
+	h->settled_ms = UINT64_MAX;
+}
+
+void quota_host_peers_known(struct quota_host *h, int has_met, uint64_t now_ms)
+{
+	if (h->settled_ms == UINT64_MAX)
+		h->settled_ms =
+			QUOTA_SETTLE_MS + (has_met ? now_ms : h->start_ms);
+}
+
 void quota_host_stop(struct quota_host *h)
 {
 	h->stopped = 1;
@@ -39,6 +52,11 @@
 	return h->owner;
 }
 
+uint32_t quota_host_known(const struct quota_host *h)
+{
+	return h->known;
+}
+
 struct quota_account *quota_find_account(const struct quota_host *h,
 					 uint32_t id)
 {
@@ -77,7 +95,7 @@
 /* A started host doesn't know all others yet, so neither its share. */
 static uint64_t own_share_from_ms(const struct quota_host *h)
 {
-	return MAX(h->lent_until_ms, h->start_ms + QUOTA_SETTLE_MS);
+	return MAX(h->lent_until_ms, h->settled_ms);
 }
 
 /* Tokens of the host's own share, which fills while it is not lent. */
--- a/src/quota_exchange.c
+++ b/src/quota_exchange.c
@@ -172,8 +172,7 @@
 /* The share is lent again only when no other owner may use it. */
 static int may_lend(const struct quota_host *h, uint64_t now_ms)
 {
-	return !h->stopped && h->stamp_ms &&
-	       now_ms >= h->start_ms + QUOTA_SETTLE_MS &&
+	return !h->stopped && h->stamp_ms && now_ms >= h->settled_ms &&
 	       (h->lent_to == h->owner || now_ms >= h->lent_until_ms);
 }
 
--- a/src/quota_state.h
+++ b/src/quota_state.h
@@ -55,6 +55,8 @@
 	struct quota_settings settings;
 	uint64_t run;
 	uint64_t start_ms;
+	/* The share is its own from then on; UINT64_MAX: others are awaited. */
+	uint64_t settled_ms;
 	uint32_t known;
 	struct quota_candidate candidates[QUOTA_CANDIDATES];
 	size_t candidate_count;
--- a/src/quota_task.h
+++ b/src/quota_task.h
@@ -58,6 +58,10 @@
 void quota_task_receive(struct quota_task *task, uint64_t from,
 			const Fescue__Packet *packet);
 
+/* See quota_host_await_peers(). */
+void quota_task_await_peers(struct quota_task *task);
+void quota_task_peers_known(struct quota_task *task, int has_met);
+
 /* Call regularly. snapshot is the active configuration, or NULL. */
 void quota_task_tick(struct quota_task *task, const struct snapshot *snapshot);
 
--- a/src/rollout_store.c
+++ b/src/rollout_store.c
@@ -401,8 +401,8 @@
 		rollout_status_name((enum rollout_phase)record->phase),
 		record->target);
 	struct store_write writes[] = {
-		{ key, value, strlen(value), write->expected_revision },
-		{ status_key, status, strlen(status), STORE_ANY_REVISION },
+		{ key, value, strlen(value), write->expected_revision, 0 },
+		{ status_key, status, strlen(status), STORE_ANY_REVISION, 0 },
 	};
 
 	c->call = store_put_all(s->settings.store, writes, G_N_ELEMENTS(writes),
--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -484,6 +484,18 @@
 	close_watches(s);
 }
 
+void store_standin_end_leases(struct store *s)
+{
+	GHashTableIter iter;
+	gpointer lease;
+
+	g_hash_table_iter_init(&iter, s->now.leases);
+	while (g_hash_table_iter_next(&iter, NULL, &lease))
+		((struct lease *)lease)->expires_ms = 0;
+	if (store_expire_leases(s))
+		answer_watches(s);
+}
+
 int store_standin_has(struct store *s, const char *key)
 {
 	return find_entry(s, key) != NULL;
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -44,6 +44,9 @@
 /* Sets the era that all answers tell; 0, as at the start: they tell none. */
 void store_standin_set_era(struct store *store, uint64_t era);
 
+/* Ends all leases at once, as an outage may. */
+void store_standin_end_leases(struct store *store);
+
 /* Returns whether the key exists. */
 int store_standin_has(struct store *store, const char *key);
 
--- a/test/test_bootstrap.cc
+++ b/test/test_bootstrap.cc
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <map>
+#include <set>
 
 extern "C" {
 #include "bootstrap.h"
@@ -66,6 +67,7 @@
 		settings.distribution = distribution;
 		settings.outbox = &outbox;
 		settings.interface = interface;
+		settings.peer_address = { own_loopback(), 7660 };
 		settings.failure_domain = "a";
 		settings.start_jitter_ms = 10;
 		settings.relays_per_domain = 2;
@@ -119,6 +121,32 @@
 			outgoing_destroy(outgoing);
 		}
 	}
+	static void on_listed(void *data, const struct store_result *result)
+	{
+		auto *found = (std::set<uint64_t> *)data;
+		struct address address;
+
+		EXPECT_EQ(result->error, 0);
+		for (size_t i = 0; i < result->item_count; i++) {
+			std::string text(result->items[i].value,
+					 result->items[i].size);
+
+			if (!address_parse(text.c_str(), &address))
+				found->insert(address_key(address));
+		}
+	}
+	/* Addresses that a host reads from the rendezvous records. */
+	std::set<uint64_t> listed_by_another_host()
+	{
+		struct store_client *other =
+			store_client_create(loop, store_address, nullptr);
+		std::set<uint64_t> found;
+
+		store_list(other, "fescue/rendezvous/", 0, on_listed, &found);
+		run_for(200);
+		store_client_destroy(other);
+		return found;
+	}
 	/* A record of a relay that does not answer. */
 	uint64_t list_relay(int number)
 	{
@@ -413,6 +441,62 @@
 	EXPECT_GE(f.pings[second], 3);
 }
 
+/*
+ * Guards against a host that is added while the store is down, finds no other
+ * when the leases have ended meanwhile, and counts itself only.
+ */
+TEST(bootstrap, host_is_found_after_its_lease_has_ended)
+{
+	fixture f(store_address, INTERFACE_PLATFORM, 1);
+	uint64_t self = membership_self(f.membership)->address;
+
+	f.put_numbered_document(7);
+	f.run_for(4500);
+	ASSERT_TRUE(store_standin_has(f.store, "fescue/rendezvous/a/0"));
+	store_standin_set_outage(f.store, OUTAGE_HANG);
+	store_standin_end_leases(f.store);
+	ASSERT_FALSE(store_standin_has(f.store, "fescue/rendezvous/a/0"));
+	store_standin_set_outage(f.store, OUTAGE_NONE);
+	EXPECT_EQ(f.listed_by_another_host(), std::set<uint64_t>{ self });
+}
+
+/* Until one that is listed has answered, or all seem to be gone. */
+TEST(bootstrap, host_awaits_the_others_that_are_listed)
+{
+	fixture f(store_address, INTERFACE_PLATFORM, 1);
+	uint64_t listed = f.list_relay(0);
+
+	EXPECT_TRUE(bootstrap_awaits_peers(f.bootstrap));
+	f.run_for(2000);
+	EXPECT_TRUE(bootstrap_awaits_peers(f.bootstrap));
+	/* Another one that is added knows no more. */
+	f.receive_table(listed + 1);
+	f.run_for(100);
+	EXPECT_TRUE(bootstrap_awaits_peers(f.bootstrap));
+	f.receive_table(listed);
+	f.run_for(100);
+	EXPECT_FALSE(bootstrap_awaits_peers(f.bootstrap));
+}
+
+TEST(bootstrap, host_awaits_no_others_where_none_are_listed)
+{
+	fixture f(store_address, INTERFACE_PLATFORM, 1);
+
+	f.run_for(1500);
+	EXPECT_FALSE(bootstrap_awaits_peers(f.bootstrap));
+}
+
+TEST(bootstrap, listed_hosts_that_are_gone_are_not_awaited_for_good)
+{
+	fixture f(store_address, INTERFACE_PLATFORM, 1);
+
+	f.list_relay(0);
+	f.run_for(9000);
+	EXPECT_TRUE(bootstrap_awaits_peers(f.bootstrap));
+	f.run_for(2000);
+	EXPECT_FALSE(bootstrap_awaits_peers(f.bootstrap));
+}
+
 /* Guards against more traffic of nodes whose settings have no quotas. */
 TEST(bootstrap, listed_hosts_are_probed_once_without_quick_joins)
 {
--- a/test/test_quota.cc
+++ b/test/test_quota.cc
@@ -215,6 +215,75 @@
  * Guards against quota that is lost to requests that did not run, also when
  * they are refused seconds after they were admitted.
  */
+/* Requests of an account that a host alone admits in the time. */
+size_t admitted_alone(struct quota_host *h, uint64_t from_ms, uint64_t to_ms)
+{
+	const struct quota_limit limit = { 1, 60, 60 };
+	uint32_t retry_ms;
+	uint64_t token;
+	size_t n = 0;
+
+	for (uint64_t now = from_ms; now < to_ms; now += 5) {
+		if (quota_host_ask(h, &limit, now, &token))
+			n++;
+		else
+			n += (size_t)quota_host_give_up(h, 1, now, &retry_ms);
+	}
+	return n;
+}
+
+/*
+ * Guards against a host that starts while it can find no other, and takes the
+ * whole rate of an account for its own share.
+ */
+TEST(quota, host_that_awaits_others_uses_no_share)
+{
+	const struct quota_settings settings = { 5000, 100000, 20 };
+	const uint64_t self = 1;
+	struct quota_host *h = quota_host_create(&settings, 1, 1000);
+	Fescue__QuotaGrant grant;
+	Fescue__Packet *packet;
+	uint64_t to;
+
+	quota_host_await_peers(h);
+	quota_host_set_candidates(h, &self, 1, 1, 1000);
+	EXPECT_EQ(admitted_alone(h, 1000, 9000), 0u);
+	/* Nor does it lend the share to itself as the owner. */
+	packet = quota_host_poll(h, 9000, &to);
+	ASSERT_NE(packet, nullptr);
+	fescue__quota_grant__init(&grant);
+	grant.sequence = packet->quota_request->sequence;
+	grant.run = 1;
+	grant.stamp_ms = 9000;
+	packet_destroy(packet);
+	quota_host_receive(h, 1, &grant, 9000);
+	packet = quota_host_poll(h, 9200, &to);
+	ASSERT_NE(packet, nullptr);
+	EXPECT_FALSE(packet->quota_request->lends);
+	packet_destroy(packet);
+	/* It met three; they learn of it in a second. */
+	quota_host_set_candidates(h, nullptr, 0, 4, 10000);
+	quota_host_peers_known(h, 1, 10000);
+	EXPECT_EQ(admitted_alone(h, 10000, 10000 + QUOTA_SETTLE_MS), 0u);
+	/* A quarter of what is allowed: rate and half of the tolerance. */
+	EXPECT_LE(admitted_alone(h, 11000, 16000), 416u / 4);
+	EXPECT_GE(admitted_alone(h, 16000, 21000), 300u / 4);
+	quota_host_destroy(h);
+}
+
+/* One that is alone waits no longer than before. */
+TEST(quota, host_without_others_uses_its_share_a_second_after_its_start)
+{
+	const struct quota_settings settings = { 5000, 100000, 20 };
+	struct quota_host *h = quota_host_create(&settings, 1, 1000);
+
+	quota_host_await_peers(h);
+	quota_host_peers_known(h, 0, 1500);
+	EXPECT_EQ(admitted_alone(h, 1500, 2000), 0u);
+	EXPECT_GE(admitted_alone(h, 2000, 7000), 300u);
+	quota_host_destroy(h);
+}
+
 TEST(quota, credits_of_late_refusals_are_returned)
 {
 	quota_sim s(1, 20, { 150, 40, 10 });
--- a/test/test_quota_fleet.cc
+++ b/test/test_quota_fleet.cc
@@ -16,13 +16,15 @@
 		quota_fleet *fleet;
 		uint64_t sent_ms;
 	};
-	caller_fleet fleet{ 1, 6, 40 };
+	caller_fleet fleet;
+	int running; /* of the nodes, the first ones */
 	std::vector<std::unique_ptr<sent_request>> requests;
 	std::vector<uint64_t> ran;
 	size_t over_quota = 0, other = 0, pending = 0;
 	int last_other = 0;
 
-	quota_fleet()
+	quota_fleet(int nodes, int nodes_at_first)
+	    : fleet(1, nodes, 40), running(nodes_at_first)
 	{
 		for (auto &node : fleet.f.nodes)
 			add_settings(node->folder + "/node.json");
@@ -33,7 +35,8 @@
 			",{\"type\":\"tenants\",\"metadata\":{\"name\":\"a\"},"
 			"\"spec\":{\"apiKeys\":[\"k\"],\"ratePerS\":30,"
 			"\"burst\":30}}]}");
-		fleet.f.start_all();
+		for (int i = 0; i < running; i++)
+			fleet.f.start(*fleet.f.nodes[(size_t)i]);
 		fleet.run_for(4000);
 	}
 	static void add_settings(const std::string &path)
@@ -94,8 +97,7 @@
 			    (double)i)
 				continue;
 			i++;
-			send((size_t)fleet.f.random_int(
-				0, (int)fleet.f.nodes.size()));
+			send((size_t)fleet.f.random_int(0, running));
 		}
 	}
 	size_t largest_window()
@@ -114,7 +116,7 @@
 
 TEST(quota_fleet, limit_holds_over_all_nodes_and_calm_is_not_refused)
 {
-	quota_fleet q;
+	quota_fleet q(6, 6);
 
 	q.send_for(5000, RATE / 1.6);
 	q.fleet.run_for(500);
@@ -139,4 +141,32 @@
 	EXPECT_GE((double)q.largest_window(), RATE * WINDOW_S * 0.8);
 }
 
+/*
+ * Guards against nodes that are added while the store is down, find no others
+ * because the leases have ended, and take the whole rate for their own share.
+ */
+TEST(quota_fleet, limit_holds_while_nodes_are_added_in_an_outage)
+{
+	quota_fleet q(6, 3);
+
+	q.fleet.run_for(3000);
+	store_standin_set_outage(q.fleet.f.store, OUTAGE_HANG);
+	q.fleet.run_for(1500);
+	for (size_t i = 3; i < 6; i++)
+		q.fleet.f.start(*q.fleet.f.nodes[i]);
+	q.send_for(3000, RATE * 4);
+	store_standin_end_leases(q.fleet.f.store);
+	store_standin_set_outage(q.fleet.f.store, OUTAGE_NONE);
+	q.running = 6;
+	q.send_for(6000, RATE * 6);
+	q.fleet.run_for(1000);
+	printf("%zu ran, %zu over quota, %zu other (last %d), largest window "
+	       "%zu\n",
+	       q.ran.size(), q.over_quota, q.other, q.last_other,
+	       q.largest_window());
+	EXPECT_LE((double)q.largest_window(),
+		  (RATE * WINDOW_S + RATE) * 1.1 + 20);
+	EXPECT_GE((double)q.largest_window(), RATE * WINDOW_S * 0.8);
+}
+
 } // namespace
--- a/test/test_rollout_task.cc
+++ b/test/test_rollout_task.cc
@@ -169,9 +169,9 @@
 		f.run_until([&f] { return f.status_is("rolled_back"); }, 3000));
 	const struct store_write writes[] = {
 		{ key, before.value.data(), before.value.size(),
-		  before.revision },
+		  before.revision, 0 },
 		{ "status/rollout/" FLEET_SERVICE, late, strlen(late),
-		  STORE_ANY_REVISION },
+		  STORE_ANY_REVISION, 0 },
 	};
 	store_put_all(client, writes, 2, rollout_fleet::on_stored, &written);
 	ASSERT_TRUE(f.run_until([&written] { return written.done; }, 3000));
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -332,8 +332,8 @@
 	const struct address store_address = { own_loopback(), 17173 };
 	struct store *store = nullptr;
 	const struct store_write writes[] = {
-		{ "own/a", "1", 1, 0 },
-		{ "status/a", "2", 1, STORE_ANY_REVISION },
+		{ "own/a", "1", 1, 0, 0 },
+		{ "status/a", "2", 1, STORE_ANY_REVISION, 0 },
 	};
 
 	signal(SIGPIPE, SIG_IGN);
