quota: a host that meets others soon after its start waits no longer

The second from the start was to cover both that a host meets others, which takes up to 0.6 s after a kill of all nodes, and that the rest learn of it. 0.7 s after the meeting are more than was left for the latter. So the share begins a second after the start or 0.7 s after the meeting, whichever is later.

--- a/fescue/quota.h
+++ b/fescue/quota.h
@@ -27,6 +27,8 @@
 #define QUOTA_LEND_MARGIN_MS 20 /* for clocks that run at other speeds */
 /* A started host learns of the others before it counts itself as a share. */
 #define QUOTA_SETTLE_MS 1000
+/* In which the others learn of a host that has met one of them. */
+#define QUOTA_SPREAD_MS 700
 #define QUOTA_REQUEST_MIN_MS 80 /* between two requests of a host */
 #define QUOTA_REQUEST_MAX_MS 150 /* the same, without requests to admit */
 #define QUOTA_REPLY_TIMEOUT_MS 60
@@ -71,7 +73,7 @@
 /*
  * The host may not know yet which others there are: it uses and lends its share
  * no more until quota_host_peers_known(). With has_met, it met them only now, and
- * they learn of it within QUOTA_SETTLE_MS.
+ * they learn of it within QUOTA_SPREAD_MS.
  */
 void quota_host_await_peers(struct quota_host *host);
 void quota_host_peers_known(struct quota_host *host, int has_met,
--- a/src/quota.c
+++ b/src/quota.c
@@ -37,9 +37,11 @@
 
 void quota_host_peers_known(struct quota_host *h, int has_met, uint64_t now_ms)
 {
-	if (h->settled_ms == UINT64_MAX)
-		h->settled_ms =
-			QUOTA_SETTLE_MS + (has_met ? now_ms : h->start_ms);
+	if (h->settled_ms != UINT64_MAX)
+		return;
+	h->settled_ms = h->start_ms + QUOTA_SETTLE_MS;
+	if (has_met)
+		h->settled_ms = MAX(h->settled_ms, now_ms + QUOTA_SPREAD_MS);
 }
 
 void quota_host_stop(struct quota_host *h)
--- a/src/store_era.c
+++ b/src/store_era.c
@@ -55,7 +55,7 @@
 			g_array_remove_index(era->subscriptions, i);
 }
 
-static void set(struct store_era *era, uint64_t told)
+static void set_now(struct store_era *era, uint64_t told)
 {
 	era->is_unpublished |= era->now != 0;
 	era->now = told;
@@ -76,7 +76,7 @@
 		return STORE_ANSWER_CURRENT;
 	}
 	if (told > era->now)
-		set(era, told);
+		set_now(era, told);
 	return when_sent && when_sent < told ? STORE_ANSWER_NEWER :
 					       STORE_ANSWER_CURRENT;
 }
@@ -99,7 +99,7 @@
 {
 	if (told <= era->now)
 		return;
-	set(era, told);
+	set_now(era, told);
 	store_era_publish(era);
 }
 
