test: a heartbeat of a fleet does not outlive the server that it names

The fixture's heartbeats are repeated when they are refused, by writing to the server that sent them; one that was answered while the fleet was taken down could have written to freed memory.

--- a/test/caller_fleet.h
+++ b/test/caller_fleet.h
@@ -53,6 +53,12 @@
 	/* Of the bodies that the backend servers received, by request id. */
 	std::map<std::string, std::vector<size_t>> body_hashes;
 	std::set<size_t> silent; /* servers that send no heartbeats */
+	/* They must not outlive the servers that sent them. */
+	struct heartbeat {
+		server *from;
+		struct http_call *call;
+	};
+	std::set<heartbeat *> pending_heartbeats;
 	uint64_t arrivals = 0, answers = 0, left = 0;
 	uint64_t closed = 0; /* runs whose node closed them before they ended */
 	double slow_share = 0; /* of the runs; these take slow_ms */
@@ -84,6 +90,10 @@
 	{
 		for (auto &entry : requests)
 			leave(entry.second);
+		for (heartbeat *h : pending_heartbeats) {
+			http_call_cancel(h->call);
+			delete h;
+		}
 		for (auto &s : servers) {
 			http_server_stop(s->http);
 			http_pool_release(s->heartbeats);
@@ -195,8 +205,11 @@
 	/* A refused one is repeated, as backend servers do. */
 	static void on_heartbeat(void *data, const struct http_result *result)
 	{
+		std::unique_ptr<heartbeat> h((heartbeat *)data);
+
+		h->from->fleet->pending_heartbeats.erase(h.get());
 		if (!result->error && result->status == 503)
-			((server *)data)->heartbeat_due_ms = wall_ms() + 50;
+			h->from->heartbeat_due_ms = wall_ms() + 50;
 	}
 	void send_heartbeat(server &s, int number)
 	{
@@ -216,7 +229,10 @@
 		request.body = body.data();
 		request.body_size = body.size();
 		request.timeout_ms = 2000;
-		http_pool_send(s.heartbeats, &request, on_heartbeat, &s);
+		auto *h = new heartbeat{ &s, nullptr };
+		pending_heartbeats.insert(h);
+		h->call =
+			http_pool_send(s.heartbeats, &request, on_heartbeat, h);
 		s.heartbeat_due_ms = wall_ms() + 1000;
 	}
 
