--- a/fescue/quota.h
+++ b/fescue/quota.h
@@ -76,6 +76,7 @@
  * they learn of it within QUOTA_SPREAD_MS.
  */
 void quota_host_await_peers(struct quota_host *host);
+int quota_host_awaits_peers(const struct quota_host *host);
 void quota_host_peers_known(struct quota_host *host, int has_met,
 			    uint64_t now_ms);
 
@@ -153,9 +154,6 @@
 void quota_host_receive(struct quota_host *host, uint64_t from,
 			const Fescue__QuotaGrant *grant, uint64_t now_ms);
 
-/* Number of hosts known, as last set; at least 1. */
-uint32_t quota_host_known(const struct quota_host *host);
-
 /* Host that is asked for tokens now; 0: none. */
 uint64_t quota_host_owner(const struct quota_host *host);
 
--- a/src/backend_server.c
+++ b/src/backend_server.c
@@ -5,8 +5,6 @@
 
 /* Heartbeats arrive every 1 to 2 seconds and may be seconds late. */
 #define ANNOUNCEMENT_TTL_MS 10000
-/* From the start of the node; beyond the delay of any late heartbeat. */
-#define REPEATS_FOR_MS 30000
 #define IDLE_CONNECTIONS_MAX 128
 /* Of the bodies of all nodes, if the machine's memory is not known. */
 #define BODIES_DEFAULT_BYTES ((size_t)24 << 20)
@@ -73,12 +71,6 @@
 	admission_set_slots(b->admission, effective_slots(b));
 }
 
-static int is_to_be_repeated(const struct backend_server *b)
-{
-	return b->record.repeats_due && !b->record.leaving &&
-	       !b->awaiting_leaving;
-}
-
 int backend_server_announce(struct backend_server *b,
 			    const struct announcement *announcement)
 {
@@ -107,7 +99,7 @@
 	backend_publish_status(b);
 	handle_leaving(b, was_leaving);
 	backend_schedule_queue(b);
-	if (!is_to_be_repeated(b))
+	if (b->awaiting_leaving || !backend_server_unconfirmed(b))
 		return FESCUE_OK;
 	backend_increment_counter(b, COUNTER_backend_repeats);
 	return FESCUE_EUNAVAILABLE;
@@ -135,21 +127,17 @@
 	handle_leaving(b, was_leaving);
 }
 
-static void waive_repeats(struct backend_server *b)
+void backend_server_set_leaving_known(struct backend_server *b)
 {
-	if (!b->record.wants_repeats)
+	if (!b->awaiting_leaving)
 		return;
-	announcement_record_want_repeats(&b->record, 0);
+	b->awaiting_leaving = 0;
 	backend_publish_status(b);
 }
 
-void backend_server_set_leaving_known(struct backend_server *b, int from_peers)
+void backend_server_waive_repeats(struct backend_server *b)
 {
-	if (from_peers)
-		waive_repeats(b);
-	if (!b->awaiting_leaving)
-		return;
-	b->awaiting_leaving = 0;
+	announcement_record_want_repeats(&b->record, 0);
 	backend_publish_status(b);
 }
 
@@ -196,8 +184,6 @@
 void backend_server_tick(struct backend_server *b)
 {
 	expire_announcement(b);
-	if (backend_now_ms(b) >= b->repeats_until_ms)
-		waive_repeats(b);
 	if (b->announce_at_ms && backend_now_ms(b) >= b->announce_at_ms) {
 		b->announce_at_ms = 0;
 		backend_publish_status(b);
@@ -230,7 +216,6 @@
 	b->settings = *settings;
 	b->awaiting_leaving = settings->await_leaving;
 	b->record.wants_repeats = settings->await_leaving;
-	b->repeats_until_ms = node_context_now_ms(context) + REPEATS_FOR_MS;
 	b->announce_at_ms =
 		node_context_now_ms(context) + settings->announce_delay_ms;
 	b->admission = admission_create(settings->policy);
--- a/src/backend_server.h
+++ b/src/backend_server.h
@@ -81,13 +81,15 @@
 void backend_server_restore_leaving(struct backend_server *backend,
 				    enum leaving_source source, uint64_t left);
 
+/* The backend server may be announced: see await_leaving. */
+void backend_server_set_leaving_known(struct backend_server *backend);
+int backend_server_awaits_leaving(const struct backend_server *backend);
+
 /*
- * The backend server may be announced: see await_leaving. With from_peers, peers
- * that ran before this node told of it, so that heartbeats need no repeats.
+ * Heartbeats need no repeats from now on, as no backend server left of which this
+ * node does not know. With await_leaving they do until then.
  */
-void backend_server_set_leaving_known(struct backend_server *backend,
-				      int from_peers);
-int backend_server_awaits_leaving(const struct backend_server *backend);
+void backend_server_waive_repeats(struct backend_server *backend);
 int backend_server_wants_repeats(const struct backend_server *backend);
 
 /*
--- a/src/backend_state.h
+++ b/src/backend_state.h
@@ -69,7 +69,6 @@
 	/* A run was silent lately: closed requests may hold their slots. */
 	uint64_t silent_until_ms;
 	int awaiting_leaving; /* see struct backend_server_settings */
-	uint64_t repeats_until_ms; /* the record wants repeats until then */
 	int unreachable; /* connections fail; cleared by the next heartbeat */
 	int draining; /* the node itself is stopping */
 	uint32_t unconfirmed_count; /* calls in this state */
--- a/src/node.c
+++ b/src/node.c
@@ -229,7 +229,6 @@
 			       const struct announcement *announcement)
 {
 	struct node *node = data;
-
 	int error = backend_server_announce(node->backend, announcement);
 
 	if (error)
--- a/src/node_leaving.c
+++ b/src/node_leaving.c
@@ -23,6 +23,8 @@
 #define LEAVING_WAIT_MAX_MS 2000
 /* From the start of the node; later, repeated heartbeats are waited for. */
 #define HEALTH_CHECKS_FOR_MS 5000
+/* From the start of the node; beyond the delay of any late heartbeat. */
+#define REPEATS_FOR_MS 30000
 /* Beyond the differences between the wall clocks of hosts. */
 #define EARLIER_START_MIN_US ((uint64_t)10 * 1000000)
 
@@ -34,7 +36,7 @@
 		log_event(LOG_STATE, "leaving_record_loaded",
 			  "\"left\":\"%016" PRIx64 "\"", left);
 	backend_server_restore_leaving(node->backend, LEAVING_FROM_STORE, left);
-	backend_server_set_leaving_known(node->backend, 0);
+	backend_server_set_leaving_known(node->backend);
 }
 
 static void on_saved(void *data)
@@ -131,6 +133,16 @@
 				   rule->health);
 }
 
+static void waive_repeats(struct node *node)
+{
+	int remember = peers_remember(node);
+
+	if (remember)
+		backend_server_set_leaving_known(node->backend);
+	if (remember || node_now_ms(node) >= node->started_ms + REPEATS_FOR_MS)
+		backend_server_waive_repeats(node->backend);
+}
+
 void node_leaving_tick(struct node *node)
 {
 	uint64_t now_ms = node_now_ms(node);
@@ -138,8 +150,8 @@
 	leaving_record_tick(node->leaving);
 	ack_queue_expire(node->acks, now_ms);
 	node_check_backend(node);
-	if (backend_server_wants_repeats(node->backend) && peers_remember(node))
-		backend_server_set_leaving_known(node->backend, 1);
+	if (backend_server_wants_repeats(node->backend))
+		waive_repeats(node);
 	if (!backend_server_awaits_leaving(node->backend))
 		return;
 	if (!bootstrap_floor(node->bootstrap)->confirmed)
@@ -147,5 +159,5 @@
 	if (!node->floor_known_ms)
 		node->floor_known_ms = now_ms;
 	if (now_ms >= node->floor_known_ms + LEAVING_WAIT_MAX_MS)
-		backend_server_set_leaving_known(node->backend, 0);
+		backend_server_set_leaving_known(node->backend);
 }
--- a/src/quota.c
+++ b/src/quota.c
@@ -35,9 +35,14 @@
 	h->settled_ms = UINT64_MAX;
 }
 
+int quota_host_awaits_peers(const struct quota_host *h)
+{
+	return h->settled_ms == UINT64_MAX;
+}
+
 void quota_host_peers_known(struct quota_host *h, int has_met, uint64_t now_ms)
 {
-	if (h->settled_ms != UINT64_MAX)
+	if (!quota_host_awaits_peers(h))
 		return;
 	h->settled_ms = h->start_ms + QUOTA_SETTLE_MS;
 	if (has_met)
@@ -54,11 +59,6 @@
 	return h->owner;
 }
 
-uint32_t quota_host_known(const struct quota_host *h)
-{
-	return h->known;
-}
-
 struct quota_account *quota_find_account(const struct quota_host *h,
 					 uint32_t id)
 {
--- a/src/quota_task.c
+++ b/src/quota_task.c
@@ -22,7 +22,6 @@
 	uint64_t viewed_ms;
 	uint64_t logged_owner;
 	int is_owner; /* shares are lent to this host */
-	int awaits_peers;
 };
 
 /* Includes suspensions also before the node's tick has noticed them. */
@@ -337,18 +336,15 @@
 void quota_task_await_peers(struct quota_task *task)
 {
 	quota_host_await_peers(task->host);
-	task->awaits_peers = 1;
 }
 
 void quota_task_peers_known(struct quota_task *task, int has_met)
 {
-	if (!task->awaits_peers)
+	if (!quota_host_awaits_peers(task->host))
 		return;
-	task->awaits_peers = 0;
 	update_view(task);
 	quota_host_peers_known(task->host, has_met, now_ms());
-	log_event(LOG_STATE, "quota_peers_known", "\"has_met\":%d,\"known\":%u",
-		  has_met, quota_host_known(task->host));
+	log_event(LOG_STATE, "quota_peers_known", "\"has_met\":%d", has_met);
 }
 
 void quota_task_tick(struct quota_task *task, const struct snapshot *snapshot)
