--- a/test/test_quota.cc
+++ b/test/test_quota.cc
@@ -271,31 +271,30 @@
 	quota_host_destroy(h);
 }
 
-/* One that is alone waits no longer than before. */
-TEST(quota, host_without_others_uses_its_share_a_second_after_its_start)
+/* The share of a host that starts at 1 s and knows its peers at known_ms. */
+void expect_share_a_second_after_start(int has_met, uint64_t known_ms)
 {
 	const struct quota_settings settings = { 5000, 100000, 20 };
 	struct quota_host *h = quota_host_create(&settings, 1, 1000);
 
 	quota_host_await_peers(h);
-	quota_host_peers_known(h, 0, 1500);
-	EXPECT_EQ(admitted_alone(h, 1500, 2000), 0u);
+	quota_host_peers_known(h, has_met, known_ms);
+	EXPECT_EQ(admitted_alone(h, known_ms, 2000), 0u);
 	EXPECT_GE(admitted_alone(h, 2000, 7000), 300u);
 	quota_host_destroy(h);
 }
 
+/* One that is alone waits no longer than before. */
+TEST(quota, host_without_others_uses_its_share_a_second_after_its_start)
+{
+	expect_share_a_second_after_start(0, 1500);
+}
+
 /* Nor one that meets the others soon after its start. */
 TEST(quota,
      host_that_meets_others_at_once_uses_its_share_a_second_after_its_start)
 {
-	const struct quota_settings settings = { 5000, 100000, 20 };
-	struct quota_host *h = quota_host_create(&settings, 1, 1000);
-
-	quota_host_await_peers(h);
-	quota_host_peers_known(h, 1, 1100);
-	EXPECT_EQ(admitted_alone(h, 1100, 2000), 0u);
-	EXPECT_GE(admitted_alone(h, 2000, 7000), 300u);
-	quota_host_destroy(h);
+	expect_share_a_second_after_start(1, 1100);
 }
 
 TEST(quota, credits_of_late_refusals_are_returned)
--- a/test/test_quota_fleet.cc
+++ b/test/test_quota_fleet.cc
@@ -112,6 +112,12 @@
 		}
 		return most;
 	}
+	void expect_limit_is_used_and_holds()
+	{
+		EXPECT_LE((double)largest_window(),
+			  (RATE * WINDOW_S + RATE) * 1.1 + 20);
+		EXPECT_GE((double)largest_window(), RATE * WINDOW_S * 0.8);
+	}
 };
 
 TEST(quota_fleet, limit_holds_over_all_nodes_and_calm_is_not_refused)
@@ -136,9 +142,7 @@
 	       q.ran.size(), q.over_quota, q.other, q.last_other,
 	       q.largest_window());
 	EXPECT_GT(q.over_quota, 200u);
-	EXPECT_LE((double)q.largest_window(),
-		  (RATE * WINDOW_S + RATE) * 1.1 + 20);
-	EXPECT_GE((double)q.largest_window(), RATE * WINDOW_S * 0.8);
+	q.expect_limit_is_used_and_holds();
 }
 
 /*
@@ -164,9 +168,7 @@
 	       "%zu\n",
 	       q.ran.size(), q.over_quota, q.other, q.last_other,
 	       q.largest_window());
-	EXPECT_LE((double)q.largest_window(),
-		  (RATE * WINDOW_S + RATE) * 1.1 + 20);
-	EXPECT_GE((double)q.largest_window(), RATE * WINDOW_S * 0.8);
+	q.expect_limit_is_used_and_holds();
 }
 
 } // namespace
