store stand-in: drop calls that are under way when it ends

Cause: a call waits for its delay before it is handled. When the stand-in ended meanwhile, the call was handled out of freed tables; a watch added itself to a freed array.

--- a/standin/store_standin.c
+++ b/standin/store_standin.c
@@ -290,9 +290,24 @@
 	}
 }
 
+/* Ends a call without an answer and closes its connection. */
+static void drop(struct call *c)
+{
+	if (c->exchange)
+		http_exchange_abort(c->exchange);
+	c->exchange = NULL;
+	call_end(c);
+}
+
 static void on_delay_elapsed(uv_timer_t *timer)
 {
-	handle_call(timer->data);
+	struct call *c = timer->data;
+
+	/* The tables of a stopped store are freed. */
+	if (c->store->stopped)
+		drop(c);
+	else
+		handle_call(c);
 }
 
 static void on_client_disconnected(void *data)
@@ -354,14 +369,8 @@
 
 static void close_watches(struct store *s)
 {
-	while (s->watches->len) {
-		struct call *c = g_ptr_array_index(s->watches, 0);
-
-		if (c->exchange)
-			http_exchange_abort(c->exchange);
-		c->exchange = NULL;
-		call_end(c);
-	}
+	while (s->watches->len)
+		drop(g_ptr_array_index(s->watches, 0));
 }
 
 static void hold_watches(struct store *s)
@@ -552,11 +561,7 @@
 	stopped_stores = s;
 	http_server_stop(s->server);
 	close_watches(s);
-	while (s->held_calls->len) {
-		struct call *c = g_ptr_array_index(s->held_calls, 0);
-
-		http_exchange_abort(c->exchange);
-		call_end(c);
-	}
+	while (s->held_calls->len)
+		drop(g_ptr_array_index(s->held_calls, 0));
 	uv_close((uv_handle_t *)&s->expiry_timer, on_expiry_timer_closed);
 }
--- a/test/test_store_client.cc
+++ b/test/test_store_client.cc
@@ -11,6 +11,7 @@
 extern "C" {
 #include "fescue/error.h"
 #include "platform/store_client.h"
+#include "standin/store_data.h"
 #include "standin/store_standin.h"
 }
 
@@ -326,6 +327,32 @@
 	proxy.reset();
 }
 
+/*
+ * Guards against a stand-in that answers a call after its end, out of freed
+ * tables: a test program aborted with "realloc(): invalid pointer".
+ */
+TEST(store_standin, call_that_is_under_way_at_its_end_is_dropped)
+{
+	const struct address store_address = { own_loopback(), 17174 };
+	struct store *store = nullptr;
+
+	signal(SIGPIPE, SIG_IGN);
+	ASSERT_EQ(store_standin_create(uv_default_loop(), store_address,
+				       &store),
+		  FESCUE_OK);
+	store->delay_ms = 100;
+	{
+		store_fixture s(store_address);
+
+		store_watch(s.client, "op/config", 0, 900,
+			    store_fixture::on_done, &s);
+		while (!store->watch_calls)
+			uv_run(s.loop, UV_RUN_ONCE);
+		store_standin_destroy(store);
+		EXPECT_EQ(s.wait().error, FESCUE_ETIMEOUT);
+	}
+}
+
 /* A status without its record, or the reverse, would mislead the next leader. */
 TEST(store_client, transaction_writes_all_or_nothing)
 {
