tests: one fixture for the store client

test_store_era had a second fixture and a second way to build answers; both tests share store_fixture.h now. Their checks are as they were; both pass.

--- a/test/test_store_era.cc
+++ b/test/test_store_era.cc
@@ -3,12 +3,9 @@
  * store client gets.
  */
 #include "scripted_peer.h"
-
-#include <csignal>
+#include "store_fixture.h"
 
 extern "C" {
-#include "fescue/error.h"
-#include "platform/store_client.h"
 #include "store_era.h"
 }
 
@@ -96,68 +93,14 @@
 	EXPECT_EQ(f.changes, 1);
 }
 
-std::string answer(const char *era, int status, const std::string &body)
-{
-	return "HTTP/1.1 " + std::to_string(status) +
-	       " X\r\ncontent-type: application/json\r\n" +
-	       (era ? std::string("store-era: ") + era + "\r\n" : "") +
-	       "content-length: " + std::to_string(body.size()) + "\r\n\r\n" +
-	       body;
-}
-
 const char item[] =
 	R"({"key":"k","value":"djE=","revision":412,"storeRevision":530})";
 const char no_events[] = R"({"events":[],"storeRevision":531})";
 
-struct client_fixture {
-	uv_loop_t *loop = uv_default_loop();
-	struct store_client *client;
-	int done = 0, error = 0, maybe_applied = 0;
-	uint64_t store_revision = 0;
-
-	explicit client_fixture(struct address address)
-	{
-		signal(SIGPIPE, SIG_IGN);
-		client = store_client_create(loop, address, nullptr);
-	}
-	~client_fixture()
-	{
-		store_client_destroy(client);
-		for (int i = 0; i < 20 && uv_run(loop, UV_RUN_NOWAIT); i++)
-			usleep(1000);
-	}
-	static void on_done(void *data, const struct store_result *r)
-	{
-		client_fixture *f = (client_fixture *)data;
-
-		f->done++;
-		f->error = r->error;
-		f->maybe_applied = r->maybe_applied;
-		f->store_revision = r->store_revision;
-	}
-	void wait(int count)
-	{
-		while (done < count)
-			uv_run(loop, UV_RUN_ONCE);
-		done = 0;
-	}
-	int get()
-	{
-		store_get(client, "k", on_done, this);
-		wait(1);
-		return error;
-	}
-	int watch()
-	{
-		store_watch(client, "k", 5, 900, on_done, this);
-		wait(1);
-		return error;
-	}
-	uint64_t era()
-	{
-		return store_era_now(store_client_era(client));
-	}
-};
+uint64_t era_of(const store_fixture &s)
+{
+	return store_era_now(store_client_era(s.client));
+}
 
 /*
  * Guards against a watch that goes on from a revision of the store before its
@@ -165,58 +108,65 @@
  */
 TEST(store_era, watch_over_a_return_from_a_copy_has_no_result)
 {
-	scripted_peer peer({ { answer("1", 200, item), step::KEEP },
-			     { answer("1", 200, no_events), step::KEEP },
-			     { answer("2", 200, no_events), step::KEEP },
-			     { answer("2", 200, no_events), step::CLOSE } });
-	client_fixture f(peer.address);
-
-	EXPECT_EQ(f.get(), FESCUE_OK);
-	EXPECT_EQ(f.watch(), FESCUE_ETIMEOUT);
-	EXPECT_EQ(f.store_revision, 531u);
-	EXPECT_EQ(f.watch(), FESCUE_EGONE);
-	EXPECT_EQ(f.store_revision, 0u);
-	EXPECT_EQ(f.era(), 2u);
-	EXPECT_EQ(f.watch(), FESCUE_ETIMEOUT);
-	EXPECT_EQ(f.store_revision, 531u);
+	scripted_peer peer({ { answer(200, item, "1"), step::KEEP },
+			     { answer(200, no_events, "1"), step::KEEP },
+			     { answer(200, no_events, "2"), step::KEEP },
+			     { answer(200, no_events, "2"), step::CLOSE } });
+	store_fixture f(peer.address);
+
+	struct call_result o;
+
+	EXPECT_EQ(f.get().error, FESCUE_OK);
+	o = f.watch();
+	EXPECT_EQ(o.error, FESCUE_ETIMEOUT);
+	EXPECT_EQ(o.store_revision, 531u);
+	o = f.watch();
+	EXPECT_EQ(o.error, FESCUE_EGONE);
+	EXPECT_EQ(o.store_revision, 0u);
+	EXPECT_EQ(era_of(f), 2u);
+	o = f.watch();
+	EXPECT_EQ(o.error, FESCUE_ETIMEOUT);
+	EXPECT_EQ(o.store_revision, 531u);
 }
 
 TEST(store_era, answer_of_an_earlier_era_has_no_result)
 {
 	scripted_peer peer(
-		{ { answer("1", 200, R"({"revision":413})"), step::CLOSE } });
-	client_fixture f(peer.address);
+		{ { answer(200, R"({"revision":413})", "1"), step::CLOSE } });
+	store_fixture f(peer.address);
+
+	struct call_result o;
 
-	store_put(f.client, "k", "v", 1, 4, 0, client_fixture::on_done, &f);
+	store_put(f.client, "k", "v", 1, 4, 0, store_fixture::on_done, &f);
 	store_era_learn(store_client_era(f.client), 2);
-	f.wait(1);
-	EXPECT_EQ(f.error, FESCUE_ETIMEOUT);
-	EXPECT_TRUE(f.maybe_applied);
+	o = f.wait();
+	EXPECT_EQ(o.error, FESCUE_ETIMEOUT);
+	EXPECT_TRUE(o.maybe_applied);
 }
 
 /* Refusals tell it too; other stores tell none. */
 TEST(store_era, era_is_read_from_any_answer_and_odd_ones_are_ignored)
 {
-	std::vector<step> steps = { { answer(nullptr, 200, item), step::KEEP },
-				    { answer("7", 503, "{}"), step::KEEP } };
+	std::vector<step> steps = { { answer(200, item), step::KEEP },
+				    { answer(503, "{}", "7"), step::KEEP } };
 	const char *odd[] = { "",    "0",   "-8",
 			      "8x",  "0x8", "8.",
 			      "1e3", " ",   "99999999999999999999999" };
 	int n = 0;
 
 	for (const char *text : odd)
-		steps.push_back({ answer(text, 200, item), step::KEEP });
+		steps.push_back({ answer(200, item, text), step::KEEP });
 	steps.back().end = step::CLOSE;
 	scripted_peer peer(steps);
-	client_fixture f(peer.address);
+	store_fixture f(peer.address);
 
-	EXPECT_EQ(f.get(), FESCUE_OK);
-	EXPECT_EQ(f.era(), 0u);
-	EXPECT_EQ(f.get(), FESCUE_EUNAVAILABLE);
-	EXPECT_EQ(f.era(), 7u);
+	EXPECT_EQ(f.get().error, FESCUE_OK);
+	EXPECT_EQ(era_of(f), 0u);
+	EXPECT_EQ(f.get().error, FESCUE_EUNAVAILABLE);
+	EXPECT_EQ(era_of(f), 7u);
 	for (const char *text : odd) {
-		EXPECT_EQ(f.get(), FESCUE_OK) << n++ << ": " << text;
-		EXPECT_EQ(f.era(), 7u) << text;
+		EXPECT_EQ(f.get().error, FESCUE_OK) << n++ << ": " << text;
+		EXPECT_EQ(era_of(f), 7u) << text;
 	}
 }
 
